Thin whole path: record, holder, entry, client, stand-ins, demo

Cause: an empty repository; the first users need one frame on which every later subsystem hangs.

Change: a workspace of packages (base, kernel, proto, config, consensus, record, placement, net, routing, daemon, cli) with two binaries and the stand-ins under support/. The record is a Raft log of our own on the few boxes with a disk; all other boxes are fed the committed entries. In each data centre a majority of its boxes lends one of them the right to decide (holder lease, no disk); it starts tasks on workers under task leases that run on the workers' clocks, and lends the runners' slots to the entry boxes.

Ruled out on the way: Boost.JSON loses its place when comments are fed byte by byte, so comments are blanked first; message::chunked(false) of Beast takes Content-Length out of an answer, so it is only ever set.

--- /dev/null
+++ b/consensus/raft-replication.cc
@@ -0,0 +1,320 @@
+// The log's side of a replica: appends, snapshots, commits, memberships.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/quorum.h"
+#include "consensus/raft.h"
+
+namespace kestrelreel {
+
+absl::StatusOr<log_index> raft::propose(std::string payload) {
+  if (role_ != raft_role::leader) {
+    return absl::UnavailableError("this replica does not lead");
+  }
+  append_own(proto::entry_command, std::move(payload));
+  return log_index(log_.last_index());
+}
+
+absl::Status raft::propose_membership(const proto::membership& members) {
+  if (role_ != raft_role::leader) {
+    return absl::UnavailableError("this replica does not lead");
+  }
+  if (!membership_settled()) {
+    return absl::FailedPreconditionError("a membership change is under way");
+  }
+  append_own(proto::entry_membership, members.SerializeAsString());
+  refresh_progress();
+  broadcast(true);
+  return absl::OkStatus();
+}
+
+void raft::append_own(proto::entry_kind kind, std::string payload) {
+  proto::log_entry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term_);
+  entry.set_kind(kind);
+  entry.set_payload(std::move(payload));
+  note_membership(entry);
+  log_.append(std::move(entry));
+}
+
+void raft::note_membership(const proto::log_entry& entry) {
+  if (entry.kind() != proto::entry_membership) return;
+  memberships_[entry.index()].ParseFromString(entry.payload());
+}
+
+void raft::truncate_from(uint64_t index) {
+  log_.truncate_from(index);
+  memberships_.erase(memberships_.lower_bound(index), memberships_.end());
+  unstable_from_ = std::min(unstable_from_, index);
+  persisted_ = std::min(persisted_, index - 1);
+  in_flight_last_ = std::min(in_flight_last_, index - 1);
+}
+
+void raft::on_append(const proto::raft_message& m) {
+  if (role_ != raft_role::follower) become_follower(term_, m.from());
+  leader_ = m.from();
+  quiet_ticks_ = 0;
+  const uint64_t previous = m.log_index();
+  if (previous > log_.last_index()) return refuse_append(m);
+  const bool covered = previous < log_.snapshot_index();
+  if (!covered && log_.term_at(previous) != m.log_term()) {
+    return refuse_append(m);
+  }
+  add_entries(m);
+  const uint64_t n = static_cast<uint64_t>(m.entries_size());
+  const uint64_t match = std::max(previous + n, log_.snapshot_index());
+  commit_ = std::max(commit_, std::min(m.commit(), match));
+  proto::raft_message reply = make(proto::raft_append_reply, m.from());
+  reply.set_granted(true);
+  reply.set_match(match);
+  waiting_.push_back(std::move(reply));
+}
+
+void raft::refuse_append(const proto::raft_message& m) {
+  uint64_t hint = std::min(m.log_index() - 1, log_.last_index());
+  if (m.log_index() <= log_.last_index()) {
+    const uint64_t wrong = log_.term_at(m.log_index());
+    while (hint > commit_ && log_.term_at(hint) == wrong) --hint;
+  }
+  proto::raft_message reply = make(proto::raft_append_reply, m.from());
+  reply.set_match(hint);
+  waiting_.push_back(std::move(reply));
+}
+
+void raft::add_entries(const proto::raft_message& m) {
+  for (const proto::log_entry& it : m.entries()) {
+    if (it.index() <= log_.snapshot_index()) continue;
+    if (it.index() <= log_.last_index()) {
+      if (log_.term_at(it.index()) == it.term()) continue;
+      truncate_from(it.index());
+    }
+    note_membership(it);
+    log_.append(it);
+  }
+}
+
+void raft::on_install(const proto::raft_message& m) {
+  if (role_ != raft_role::follower) become_follower(term_, m.from());
+  leader_ = m.from();
+  quiet_ticks_ = 0;
+  const uint64_t index = m.snapshot().index();
+  if (index > commit_) {
+    auto snapshot = std::make_shared<const proto::log_snapshot>(m.snapshot());
+    log_.reset(snapshot);
+    memberships_.clear();
+    memberships_[index] = snapshot->members();
+    commit_ = applied_ = handed_commit_ = saved_commit_ = index;
+    persisted_ = in_flight_last_ = index;
+    unstable_from_ = index + 1;
+    unsaved_snapshot_ = to_install_ = std::move(snapshot);
+  }
+  proto::raft_message reply = make(proto::raft_append_reply, m.from());
+  reply.set_granted(true);
+  reply.set_match(index);
+  waiting_.push_back(std::move(reply));
+}
+
+void raft::on_append_reply(const proto::raft_message& m) {
+  if (role_ != raft_role::leader) return;
+  const auto found = progress_.find(m.from());
+  if (found == progress_.end()) return;
+  progress& it = found->second;
+  it.silent_ticks = 0;
+  if (!m.granted()) {
+    it.next = std::max(it.match, std::min(it.next - 1, m.match())) + 1;
+    return send_append(m.from(), it, true);
+  }
+  it.match = std::max(it.match, m.match());
+  it.next = std::max(it.next, it.match + 1);
+  advance_commit();
+  send_append(m.from(), it, false);
+}
+
+void raft::broadcast(bool heartbeat) {
+  for (auto& [box, it] : progress_) send_append(box, it, heartbeat);
+}
+
+void raft::send_append(const std::string& box, progress& it, bool heartbeat) {
+  const bool more =
+      it.next <= log_.last_index() && it.next - it.match <= settings_.window;
+  if (!more && !heartbeat) return;
+  const uint64_t previous = it.next - 1;
+  if (!log_.knows(previous)) return send_install(box, it);
+  proto::raft_message m = make(proto::raft_append, box);
+  m.set_log_index(previous);
+  m.set_log_term(log_.term_at(previous));
+  m.set_commit(commit_);
+  if (more) {
+    for (auto& entry : log_.slice(it.next, settings_.batch_bytes)) {
+      *m.add_entries() = std::move(entry);
+    }
+    it.next += static_cast<uint64_t>(m.entries_size());
+  }
+  ready_.push_back(std::move(m));
+}
+
+void raft::send_install(const std::string& box, progress& it) {
+  if (it.install_wait > 0) return;
+  it.install_wait = settings_.election_ticks;
+  proto::raft_message m = make(proto::raft_install, box);
+  *m.mutable_snapshot() = *log_.snapshot();
+  it.next = log_.snapshot_index() + 1;
+  ready_.push_back(std::move(m));
+}
+
+void raft::advance_commit() {
+  const uint64_t index = majority_index(members(), [&](const auto& voter) {
+    if (voter.box() == settings_.self.str()) return persisted_;
+    const auto it = progress_.find(voter.box());
+    return it == progress_.end() ? uint64_t{0} : it->second.match;
+  });
+  if (index <= commit_ || log_.term_at(index) != term_) return;
+  commit_ = index;
+  broadcast(true);
+}
+
+void raft::refresh_progress() {
+  std::map<std::string, progress> fresh;
+  const auto keep = [&](const proto::replica& member) {
+    if (member.box() == settings_.self.str()) return;
+    progress& it = fresh[member.box()];
+    const auto old = progress_.find(member.box());
+    const bool same =
+        old != progress_.end() && old->second.identity == member.identity();
+    if (same) it = old->second;
+    if (!same) it.next = log_.last_index() + 1;
+    it.identity = member.identity();
+  };
+  for (const proto::replica& it : members().voters()) keep(it);
+  for (const proto::replica& it : members().learners()) keep(it);
+  progress_ = std::move(fresh);
+}
+
+bool raft::membership_settled() const {
+  const bool pending =
+      !memberships_.empty() && memberships_.rbegin()->first > commit_;
+  return !pending && log_.term_at(commit_) == term_;
+}
+
+/// Repairs the membership one step at a time: a box that lost its data folder
+/// leaves as the old replica, joins as a learner, and votes once it holds the
+/// log.
+void raft::review_membership() {
+  if (!membership_settled()) return;
+  if (admit_stranger()) return;
+  promote_learner();
+}
+
+bool raft::admit_stranger() {
+  for (const auto& [box, identity] : strangers_) {
+    if (is_member(members(), box, identity)) continue;
+    proto::membership next = without_box(members(), box);
+    const bool was_voter = find_voter(members(), box) != nullptr;
+    if (was_voter && next.voters_size() == 0) continue;
+    if (!was_voter) {
+      proto::replica* it = next.add_learners();
+      it->set_box(box);
+      it->set_identity(identity);
+    }
+    return propose_membership(next).ok();
+  }
+  strangers_.clear();
+  return false;
+}
+
+bool raft::promote_learner() {
+  for (const proto::replica& learner : members().learners()) {
+    const auto it = progress_.find(learner.box());
+    if (it == progress_.end()) continue;
+    const bool lately = it->second.silent_ticks <= settings_.heartbeat_ticks;
+    if (!lately || it->second.match < commit_) continue;
+    proto::membership next = without_box(members(), learner.box());
+    *next.add_voters() = learner;
+    return propose_membership(next).ok();
+  }
+  return false;
+}
+
+std::optional<persist_batch> raft::next_batch() {
+  const bool entries = unstable_from_ <= log_.last_index();
+  const bool commit = commit_ > handed_commit_;
+  if (!hard_dirty_ && !entries && !commit && !unsaved_snapshot_) {
+    return std::nullopt;
+  }
+  persist_batch batch;
+  if (hard_dirty_ || commit) {
+    handed_commit_ = commit_;
+    batch.hard.emplace();
+    batch.hard->set_term(term_);
+    batch.hard->set_voted_for(voted_for_);
+    batch.hard->set_commit(commit_);
+    hard_dirty_ = false;
+  }
+  batch.snapshot = std::move(unsaved_snapshot_);
+  unsaved_snapshot_ = nullptr;
+  for (uint64_t i = unstable_from_; i <= log_.last_index(); ++i) {
+    batch.entries.push_back(log_.at(i));
+  }
+  unstable_from_ = log_.last_index() + 1;
+  in_flight_last_ = log_.last_index();
+  in_flight_ = true;
+  in_flight_messages_ = std::move(waiting_);
+  waiting_.clear();
+  return batch;
+}
+
+raft_actions raft::take() {
+  raft_actions actions;
+  if (role_ == raft_role::leader) broadcast(false);
+  if (!in_flight_) {
+    actions.persist = next_batch();
+    if (!actions.persist) {
+      std::move(waiting_.begin(), waiting_.end(), std::back_inserter(ready_));
+      waiting_.clear();
+    }
+  }
+  actions.messages = std::move(ready_);
+  ready_.clear();
+  actions.install = std::move(to_install_);
+  to_install_ = nullptr;
+  const uint64_t limit = std::min(saved_commit_, persisted_);
+  while (applied_ < limit) actions.committed.push_back(log_.at(++applied_));
+  return actions;
+}
+
+void raft::persisted() {
+  in_flight_ = false;
+  persisted_ = std::max(persisted_, in_flight_last_);
+  saved_commit_ = handed_commit_;
+  std::move(in_flight_messages_.begin(), in_flight_messages_.end(),
+            std::back_inserter(ready_));
+  in_flight_messages_.clear();
+  if (role_ == raft_role::leader) advance_commit();
+}
+
+const proto::membership& raft::members_at(uint64_t index) const {
+  const auto it = memberships_.upper_bound(index);
+  if (it == memberships_.begin()) return founding_;
+  return std::prev(it)->second;
+}
+
+std::shared_ptr<const proto::log_snapshot> raft::make_snapshot(
+    std::string data) const {
+  auto snapshot = std::make_shared<proto::log_snapshot>();
+  snapshot->set_index(applied_);
+  snapshot->set_term(log_.term_at(applied_));
+  *snapshot->mutable_members() = members_at(applied_);
+  snapshot->set_data(std::move(data));
+  return snapshot;
+}
+
+void raft::compact(std::shared_ptr<const proto::log_snapshot> snapshot) {
+  const uint64_t index = snapshot->index();
+  if (index <= log_.snapshot_index() || index > applied_) return;
+  memberships_.erase(memberships_.begin(), memberships_.upper_bound(index));
+  memberships_[index] = snapshot->members();
+  log_.compact(std::move(snapshot));
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/consensus/raft.cc
@@ -0,0 +1,287 @@
+#include "consensus/raft.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "consensus/quorum.h"
+
+namespace kestrelreel {
+
+const char* to_string(raft_role role) {
+  switch (role) {
+    case raft_role::follower:
+      return "follower";
+    case raft_role::pre_candidate:
+      return "pre-candidate";
+    case raft_role::candidate:
+      return "candidate";
+    case raft_role::leader:
+      return "leader";
+  }
+  return "follower";
+}
+
+raft::raft(raft_settings settings, random_source& random, raft_state state)
+    : settings_(std::move(settings)),
+      random_(random),
+      log_(state.snapshot),
+      founding_(std::move(state.founding)),
+      term_(state.hard.term()),
+      voted_for_(state.hard.voted_for()) {
+  if (state.snapshot) {
+    memberships_[state.snapshot->index()] = state.snapshot->members();
+    to_install_ = state.snapshot;
+  }
+  commit_ = applied_ = log_.snapshot_index();
+  for (proto::log_entry& it : state.entries) {
+    note_membership(it);
+    log_.append(std::move(it));
+  }
+  persisted_ = log_.last_index();
+  commit_ = std::clamp(state.hard.commit(), commit_, persisted_);
+  handed_commit_ = saved_commit_ = commit_;
+  unstable_from_ = persisted_ + 1;
+  reset_timeout();
+}
+
+const proto::membership& raft::members() const {
+  if (memberships_.empty()) return founding_;
+  return memberships_.rbegin()->second;
+}
+
+bool raft::self_votes() const {
+  return is_voter(members(), settings_.self.str(), settings_.identity);
+}
+
+void raft::reset_timeout() {
+  quiet_ticks_ = 0;
+  timeout_ticks_ =
+      settings_.election_ticks +
+      static_cast<unsigned>(random_.below(settings_.election_ticks));
+}
+
+proto::raft_message raft::make(proto::raft_kind kind,
+                               const std::string& to) const {
+  proto::raft_message m;
+  m.set_kind(kind);
+  m.set_from(settings_.self.str());
+  m.set_from_identity(settings_.identity);
+  m.set_to(to);
+  m.set_term(term_);
+  return m;
+}
+
+void raft::tick() {
+  if (role_ == raft_role::leader) return leader_tick();
+  ++quiet_ticks_;
+  if (quiet_ticks_ < timeout_ticks_) return;
+  if (self_votes()) return start_election(true, false);
+  reset_timeout();
+  announce();
+}
+
+/// Tells the boxes with data folders that this replica exists, so that the
+/// leader among them takes it in as a learner.
+void raft::announce() {
+  if (is_member(members(), settings_.self.str(), settings_.identity)) return;
+  for (const box_id& it : settings_.replica_boxes) {
+    if (it == settings_.self) continue;
+    ready_.push_back(make(proto::raft_append_reply, it.str()));
+  }
+}
+
+void raft::leader_tick() {
+  for (auto& [box, it] : progress_) {
+    ++it.silent_ticks;
+    if (it.install_wait > 0) --it.install_wait;
+  }
+  if (++quiet_ticks_ >= settings_.election_ticks) {
+    quiet_ticks_ = 0;
+    const bool quorum = has_majority(members(), [&](const auto& voter) {
+      if (voter.box() == settings_.self.str()) return true;
+      return progress_[voter.box()].silent_ticks <= settings_.election_ticks;
+    });
+    if (!quorum) return become_follower(term_, "");
+  }
+  review_membership();
+  if (++heartbeat_wait_ < settings_.heartbeat_ticks) return;
+  heartbeat_wait_ = 0;
+  broadcast(true);
+}
+
+void raft::become_follower(uint64_t term, const std::string& leader) {
+  if (term != term_) {
+    term_ = term;
+    voted_for_.clear();
+    hard_dirty_ = true;
+  }
+  role_ = raft_role::follower;
+  leader_ = leader;
+  votes_.clear();
+  progress_.clear();
+  strangers_.clear();
+  reset_timeout();
+}
+
+void raft::start_election(bool pre_vote, bool transfer) {
+  leader_.clear();
+  reset_timeout();
+  votes_ = {settings_.self.str()};
+  role_ = pre_vote ? raft_role::pre_candidate : raft_role::candidate;
+  if (!pre_vote) {
+    ++term_;
+    voted_for_ = settings_.self.str();
+    hard_dirty_ = true;
+  }
+  const auto kind = pre_vote ? proto::raft_pre_vote : proto::raft_vote;
+  for (const proto::replica& voter : members().voters()) {
+    if (voter.box() == settings_.self.str()) continue;
+    proto::raft_message m = make(kind, voter.box());
+    m.set_term(pre_vote ? term_ + 1 : term_);
+    m.set_log_index(log_.last_index());
+    m.set_log_term(log_.last_term());
+    m.set_granted(transfer);
+    (pre_vote ? ready_ : waiting_).push_back(std::move(m));
+  }
+  if (majority(members()) > 1) return;
+  if (pre_vote) return start_election(false, false);
+  become_leader();
+}
+
+void raft::become_leader() {
+  role_ = raft_role::leader;
+  leader_ = settings_.self.str();
+  quiet_ticks_ = 0;
+  heartbeat_wait_ = 0;
+  progress_.clear();
+  strangers_.clear();
+  refresh_progress();
+  append_own(proto::entry_noop, "");
+}
+
+bool raft::heard_leader() const {
+  if (role_ == raft_role::leader) return true;
+  return !leader_.empty() && quiet_ticks_ < settings_.election_ticks;
+}
+
+void raft::step(const proto::raft_message& m) {
+  const bool member = is_member(members(), m.from(), m.from_identity());
+  if (role_ == raft_role::leader && !member) {
+    strangers_[m.from()] = m.from_identity();
+    return;
+  }
+  const auto kind = m.kind();
+  if (kind == proto::raft_pre_vote || kind == proto::raft_vote) {
+    return on_vote_request(m);
+  }
+  if (kind == proto::raft_pre_vote_reply && m.granted()) {
+    return on_vote_reply(m);
+  }
+  if (m.term() > term_) adopt_term(m);
+  if (outdated(m)) return;
+  switch (kind) {
+    case proto::raft_vote_reply:
+      return on_vote_reply(m);
+    case proto::raft_append:
+      return on_append(m);
+    case proto::raft_install:
+      return on_install(m);
+    case proto::raft_append_reply:
+      return on_append_reply(m);
+    case proto::raft_timeout_now:
+      if (self_votes()) start_election(false, true);
+      return;
+    default:
+      return;
+  }
+}
+
+void raft::adopt_term(const proto::raft_message& m) {
+  const bool leads =
+      m.kind() == proto::raft_append || m.kind() == proto::raft_install;
+  become_follower(m.term(), leads ? m.from() : "");
+}
+
+/// Drops a message of an older term, and tells an old leader of this one.
+bool raft::outdated(const proto::raft_message& m) {
+  if (m.term() == term_) return false;
+  if (m.kind() == proto::raft_append || m.kind() == proto::raft_install) {
+    waiting_.push_back(make(proto::raft_append_reply, m.from()));
+  }
+  return true;
+}
+
+bool raft::may_vote_for(const proto::raft_message& m) const {
+  if (!log_.is_up_to_date(m.log_index(), m.log_term())) return false;
+  if (m.kind() == proto::raft_pre_vote) return m.term() > term_;
+  if (m.term() < term_) return false;
+  return voted_for_.empty() || voted_for_ == m.from();
+}
+
+void raft::on_vote_request(const proto::raft_message& m) {
+  const bool pre_vote = m.kind() == proto::raft_pre_vote;
+  const bool transfer = m.granted();
+  if (heard_leader() && !transfer && m.term() >= term_) return;
+  if (!pre_vote && m.term() > term_) become_follower(m.term(), "");
+  const bool granted = may_vote_for(m);
+  const auto kind =
+      pre_vote ? proto::raft_pre_vote_reply : proto::raft_vote_reply;
+  proto::raft_message reply = make(kind, m.from());
+  reply.set_granted(granted);
+  if (granted && pre_vote) reply.set_term(m.term());
+  if (granted && !pre_vote) {
+    voted_for_ = m.from();
+    hard_dirty_ = true;
+    reset_timeout();
+  }
+  waiting_.push_back(std::move(reply));
+}
+
+void raft::on_vote_reply(const proto::raft_message& m) {
+  const bool pre_vote = m.kind() == proto::raft_pre_vote_reply;
+  const auto wanted =
+      pre_vote ? raft_role::pre_candidate : raft_role::candidate;
+  if (role_ != wanted || !m.granted()) return;
+  if (m.term() != (pre_vote ? term_ + 1 : term_)) return;
+  if (!is_voter(members(), m.from(), m.from_identity())) return;
+  votes_.insert(m.from());
+  const bool won = has_majority(members(), [&](const auto& voter) {
+    return votes_.contains(voter.box());
+  });
+  if (!won) return;
+  if (pre_vote) return start_election(false, false);
+  become_leader();
+}
+
+void raft::transfer_leadership() {
+  if (role_ != raft_role::leader) return;
+  std::string best;
+  uint64_t most = 0;
+  for (const proto::replica& voter : members().voters()) {
+    if (voter.box() == settings_.self.str()) continue;
+    const progress& it = progress_[voter.box()];
+    if (it.silent_ticks > settings_.election_ticks) continue;
+    if (it.match < most) continue;
+    best = voter.box();
+    most = it.match;
+  }
+  if (!best.empty()) ready_.push_back(make(proto::raft_timeout_now, best));
+}
+
+int raft::losses_survived() const {
+  if (role_ != raft_role::leader) return -1;
+  int holding = 0;
+  for (const proto::replica& voter : members().voters()) {
+    if (voter.box() == settings_.self.str()) {
+      ++holding;
+      continue;
+    }
+    const auto it = progress_.find(voter.box());
+    if (it == progress_.end()) continue;
+    const bool lately = it->second.silent_ticks <= settings_.election_ticks;
+    if (lately && it->second.match >= commit_) ++holding;
+  }
+  return holding - static_cast<int>(majority(members()));
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/consensus/raft.h
@@ -0,0 +1,200 @@
+// One replica of the log as a pure state machine: messages, ticks and disk
+// completions go in, actions come out. No input or output happens inside.
+// The protocol is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check
+// quorum, leadership transfer, learners and single-step membership changes;
+// docs/design/record.md says why.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "base/clock.h"
+#include "base/ids.h"
+#include "consensus/raft-log.h"
+#include "proto/consensus.pb.h"
+
+namespace kestrelreel {
+
+/// What a replica is doing.
+enum class raft_role { follower, pre_candidate, candidate, leader };
+
+/// The role as logs and the status show it.
+const char* to_string(raft_role role);
+
+/// Fixed properties of a replica.
+struct raft_settings {
+  box_id self;
+  /// Identity of the data folder; changes when the folder was lost.
+  std::string identity;
+  /// Least ticks without a leader before an election; the most is twice this.
+  unsigned election_ticks = 10;
+  unsigned heartbeat_ticks = 2;
+  /// Entries of one append message, in bytes.
+  size_t batch_bytes = 1 << 20;
+  /// Entries that may be sent ahead of the follower's acknowledgement.
+  uint64_t window = 4096;
+  /// Boxes that have a data folder; a replica without members tells them that
+  /// it exists.
+  std::vector<box_id> replica_boxes;
+};
+
+/// What a replica finds on its disk when it starts.
+struct raft_state {
+  proto::hard_state hard;
+  std::shared_ptr<const proto::log_snapshot> snapshot;
+  std::vector<proto::log_entry> entries;
+  /// Members before any snapshot or membership entry.
+  proto::membership founding;
+};
+
+/// What must be on the disk before `raft::persisted` is called.
+struct persist_batch {
+  std::optional<proto::hard_state> hard;
+  /// Replaces the whole log.
+  std::shared_ptr<const proto::log_snapshot> snapshot;
+  /// An entry replaces the one at its index and all after that.
+  std::vector<proto::log_entry> entries;
+};
+
+/// What the owner of a replica has to do next.
+struct raft_actions {
+  std::vector<proto::raft_message> messages;
+  std::optional<persist_batch> persist;
+  /// To be installed before `committed` is applied.
+  std::shared_ptr<const proto::log_snapshot> install;
+  std::vector<proto::log_entry> committed;
+};
+
+/// A replica. Not thread-safe.
+class raft {
+ public:
+  raft(raft_settings settings, random_source& random, raft_state state);
+
+  /// One step of the replica's clock.
+  void tick();
+  /// A message of another replica. Messages may be lost, repeated or late.
+  void step(const proto::raft_message& m);
+  /// Adds a command; `Unavailable` unless this replica leads.
+  absl::StatusOr<log_index> propose(std::string payload);
+  /// Adds a membership that differs by one replica from the current one;
+  /// `Unavailable` unless this replica leads, `FailedPrecondition` while an
+  /// earlier change is not committed.
+  absl::Status propose_membership(const proto::membership& members);
+  /// Hands leadership to the voter that has most of the log, if it leads.
+  void transfer_leadership();
+  /// Takes the actions that have come up. At most one batch is out at a time.
+  raft_actions take();
+  /// The last batch taken is on the disk.
+  void persisted();
+  /// A snapshot of what `take` has handed out for applying so far; `data` is
+  /// the owner's state after that.
+  std::shared_ptr<const proto::log_snapshot> make_snapshot(
+      std::string data) const;
+  /// The snapshot is saved; the entries that it covers may go.
+  void compact(std::shared_ptr<const proto::log_snapshot> snapshot);
+
+  raft_role role() const { return role_; }
+  uint64_t term() const { return term_; }
+  uint64_t commit_index() const { return commit_; }
+  uint64_t applied_index() const { return applied_; }
+  /// The leader of this term, if known.
+  const std::string& leader() const { return leader_; }
+  const proto::membership& members() const;
+  const raft_log& log() const { return log_; }
+  const std::string& identity() const { return settings_.identity; }
+  /// Voters beyond a majority that hold every committed entry and were heard
+  /// lately: how many may be lost with no change refused. -1 unless leading.
+  int losses_survived() const;
+
+ private:
+  struct progress {
+    std::string identity;
+    uint64_t match = 0;
+    uint64_t next = 1;
+    unsigned silent_ticks = 0;
+    unsigned install_wait = 0;
+  };
+
+  // Elections: raft.cc.
+  void become_follower(uint64_t term, const std::string& leader);
+  void start_election(bool pre_vote, bool transfer);
+  void become_leader();
+  void on_vote_request(const proto::raft_message& m);
+  void on_vote_reply(const proto::raft_message& m);
+  bool may_vote_for(const proto::raft_message& m) const;
+  bool outdated(const proto::raft_message& m);
+  bool heard_leader() const;
+  void adopt_term(const proto::raft_message& m);
+  void leader_tick();
+  void announce();
+  void reset_timeout();
+  bool self_votes() const;
+
+  // Log: raft-replication.cc.
+  void append_own(proto::entry_kind kind, std::string payload);
+  void on_append(const proto::raft_message& m);
+  void refuse_append(const proto::raft_message& m);
+  void add_entries(const proto::raft_message& m);
+  void on_append_reply(const proto::raft_message& m);
+  void on_install(const proto::raft_message& m);
+  void send_append(const std::string& box, progress& it, bool heartbeat);
+  void send_install(const std::string& box, progress& it);
+  void broadcast(bool heartbeat);
+  void advance_commit();
+  void truncate_from(uint64_t index);
+  void note_membership(const proto::log_entry& entry);
+  void refresh_progress();
+  void review_membership();
+  bool membership_settled() const;
+  bool admit_stranger();
+  bool promote_learner();
+  std::optional<persist_batch> next_batch();
+
+  const proto::membership& members_at(uint64_t index) const;
+  proto::raft_message make(proto::raft_kind kind, const std::string& to) const;
+
+  raft_settings settings_;
+  random_source& random_;
+  raft_log log_;
+  proto::membership founding_;
+  // Memberships of the log by index, oldest first.
+  std::map<uint64_t, proto::membership> memberships_;
+
+  raft_role role_ = raft_role::follower;
+  uint64_t term_ = 0;
+  std::string voted_for_;
+  std::string leader_;
+  uint64_t commit_ = 0;
+  uint64_t applied_ = 0;
+
+  unsigned quiet_ticks_ = 0;
+  unsigned timeout_ticks_ = 0;
+  unsigned heartbeat_wait_ = 0;
+  std::set<std::string> votes_;
+  std::map<std::string, progress> progress_;
+  std::map<std::string, std::string> strangers_;
+
+  bool hard_dirty_ = false;
+  uint64_t unstable_from_ = 1;
+  uint64_t persisted_ = 0;
+  uint64_t in_flight_last_ = 0;
+  // Commit index handed to the disk, and the one known to last.
+  uint64_t handed_commit_ = 0;
+  uint64_t saved_commit_ = 0;
+  bool in_flight_ = false;
+  std::shared_ptr<const proto::log_snapshot> unsaved_snapshot_;
+  std::shared_ptr<const proto::log_snapshot> to_install_;
+  std::vector<proto::raft_message> ready_;
+  // Messages that tell of state not yet on the disk.
+  std::vector<proto::raft_message> waiting_;
+  std::vector<proto::raft_message> in_flight_messages_;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/consensus/replica.cc
@@ -0,0 +1,99 @@
+#include "consensus/replica.h"
+
+#include <utility>
+
+namespace kestrelreel {
+
+replica::replica(raft_settings settings, random_source& random,
+                 std::unique_ptr<log_store> store, blocking_queue& queue,
+                 replica_host& host, compaction_settings compaction)
+    : store_(std::move(store)),
+      raft_(std::move(settings), random, store_->take_state()),
+      queue_(queue),
+      host_(host),
+      compaction_(compaction),
+      compacted_size_(store_->size()) {
+  pump();
+}
+
+void replica::tick() {
+  if (failed_) return;
+  raft_.tick();
+  pump();
+}
+
+void replica::receive(const proto::raft_message& m) {
+  if (failed_) return;
+  raft_.step(m);
+  pump();
+}
+
+absl::Status replica::propose(std::string payload) {
+  if (failed_) return absl::UnavailableError("the disk failed");
+  const absl::Status status = raft_.propose(std::move(payload)).status();
+  pump();
+  return status;
+}
+
+void replica::transfer_leadership() {
+  raft_.transfer_leadership();
+  pump();
+}
+
+void replica::pump() {
+  raft_actions actions = raft_.take();
+  if (actions.install) host_.install(*actions.install);
+  for (const proto::log_entry& it : actions.committed) host_.apply(it);
+  for (const proto::raft_message& it : actions.messages) host_.send(it);
+  if (actions.persist) return write(std::move(*actions.persist));
+  compact_if_due();
+}
+
+void replica::write(persist_batch batch) {
+  ++writes_out_;
+  auto shared = std::make_shared<persist_batch>(std::move(batch));
+  auto work = [store = store_.get(), shared] { return store->write(*shared); };
+  auto done = [this, alive = std::weak_ptr(alive_)](absl::Status status) {
+    if (alive.expired()) return;
+    --writes_out_;
+    if (!status.ok()) {
+      failed_ = true;
+      return host_.disk_failed(status);
+    }
+    raft_.persisted();
+    pump();
+  };
+  queue_.run(std::move(work), std::move(done));
+}
+
+void replica::compact_if_due() {
+  if (writes_out_ > 0) return;
+  const uint64_t covered = raft_.applied_index() - raft_.log().snapshot_index();
+  const bool many = covered >= compaction_.entries;
+  const bool large = store_->size() >= compacted_size_ + compaction_.bytes;
+  if (covered == 0 || (!many && !large)) return;
+  ++writes_out_;
+  auto snapshot = raft_.make_snapshot(host_.save_state());
+  raft_.compact(snapshot);
+  auto tail = std::make_shared<std::vector<proto::log_entry>>();
+  const raft_log& log = raft_.log();
+  for (uint64_t i = log.snapshot_index() + 1; i <= log.last_index(); ++i) {
+    tail->push_back(log.at(i));
+  }
+  auto work = [store = store_.get(), snapshot, tail] {
+    return store->compact(*snapshot, *tail);
+  };
+  auto done = [this, alive = std::weak_ptr(alive_)](absl::Status status) {
+    if (alive.expired()) return;
+    --writes_out_;
+    compacted_size_ = store_->size();
+    if (!status.ok()) {
+      failed_ = true;
+      return host_.disk_failed(status);
+    }
+    pump();
+  };
+  queue_.run(std::move(work), std::move(done));
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/consensus/replica.h
@@ -0,0 +1,86 @@
+// Joins a replica's state machine with its disk, its peers and the state that
+// the committed entries build up.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "consensus/log-store.h"
+#include "consensus/raft.h"
+
+namespace kestrelreel {
+
+/// Runs what blocks away from the thread of the decisions.
+class blocking_queue {
+ public:
+  virtual ~blocking_queue() = default;
+  /// Runs `work`, one at a time in the order of the calls, then `done` with
+  /// its result on the thread of the decisions.
+  virtual void run(std::function<absl::Status()> work,
+                   std::function<void(absl::Status)> done) = 0;
+};
+
+/// What a replica needs of its process.
+class replica_host {
+ public:
+  virtual ~replica_host() = default;
+  /// Sends a message; it may be lost.
+  virtual void send(const proto::raft_message& m) = 0;
+  /// Puts the snapshot's state in the place of all state so far.
+  virtual void install(const proto::log_snapshot& snapshot) = 0;
+  /// Applies the next committed entry.
+  virtual void apply(const proto::log_entry& entry) = 0;
+  /// The whole state after the last applied entry.
+  virtual std::string save_state() = 0;
+  /// The disk failed: the process must end without sending anything more.
+  virtual void disk_failed(const absl::Status& status) = 0;
+};
+
+/// How often a replica writes a snapshot.
+struct compaction_settings {
+  /// Entries since the last snapshot.
+  uint64_t entries = 20'000;
+  /// Bytes of the log file since the last snapshot.
+  size_t bytes = 64 << 20;
+};
+
+/// A running replica. Not thread-safe; `blocking_queue` returns to its thread.
+class replica {
+ public:
+  replica(raft_settings settings, random_source& random,
+          std::unique_ptr<log_store> store, blocking_queue& queue,
+          replica_host& host, compaction_settings compaction = {});
+
+  /// One tick of the replica's clock.
+  void tick();
+  /// A message of another replica.
+  void receive(const proto::raft_message& m);
+  /// Adds a command to the log; `Unavailable` unless this replica leads.
+  absl::Status propose(std::string payload);
+  /// Hands leadership on, if this replica leads.
+  void transfer_leadership();
+
+  /// The state machine, for reading.
+  const raft& state() const { return raft_; }
+
+ private:
+  void pump();
+  void write(persist_batch batch);
+  void compact_if_due();
+
+  std::unique_ptr<log_store> store_;
+  raft raft_;
+  blocking_queue& queue_;
+  replica_host& host_;
+  compaction_settings compaction_;
+  size_t compacted_size_ = 0;
+  unsigned writes_out_ = 0;
+  bool failed_ = false;
+  // A callback of the queue that comes after the replica's end does nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/grpc-server.h
@@ -0,0 +1,19 @@
+// Starting and stopping gRPC servers the same way everywhere.
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+
+namespace kestrelreel {
+
+/// A server for `calls` on an `IP:PORT`; `AlreadyExists` when it is taken.
+absl::StatusOr<std::unique_ptr<grpc::Server>> start_grpc_server(
+    const std::string& address, grpc::Service& calls);
+/// Stops a server; calls under way get a moment to end.
+void stop_grpc_server(grpc::Server& server);
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/record/box-table.h
@@ -0,0 +1,66 @@
+// Which boxes of the system are live, by their own heartbeats.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "proto/peer.pb.h"
+
+namespace kestrelreel {
+
+/// A box as the settings name it.
+struct box_entry {
+  box_id id;
+  data_centre_id data_centre;
+  /// Where its peers reach it, `IP:PORT`.
+  std::string peer_address;
+  /// Whether it has a data folder for the record.
+  bool replica = false;
+};
+
+/// What a box last told of itself.
+struct box_view {
+  uint64_t incarnation = 0;
+  time_point heard{};
+  bool ever_heard = false;
+  proto::box_digest digest;
+};
+
+/// The boxes of the cluster and what is known of each.
+class box_table {
+ public:
+  /// A box silent for this long counts as dead.
+  static constexpr milliseconds silence_limit{2'000};
+
+  box_table(box_id self, std::vector<box_entry> boxes, clock_source& clock);
+
+  /// Notes a heartbeat; one of an older incarnation is ignored.
+  void heard(const box_id& box, uint64_t incarnation,
+             const proto::box_digest& digest);
+
+  const box_id& self() const { return self_; }
+  const std::vector<box_entry>& boxes() const { return boxes_; }
+  /// The entry of a box; null for an unknown one.
+  const box_entry* find(const box_id& box) const;
+  const box_view& view(const box_id& box) const;
+  /// True for this box and for those heard lately.
+  bool live(const box_id& box) const;
+  /// The boxes of a data centre, in the order of the settings.
+  std::vector<box_id> in_data_centre(const data_centre_id& it) const;
+  /// Those of them that are live and not about to stop.
+  std::vector<box_id> serving_in(const data_centre_id& it) const;
+  /// The data centre of this box.
+  const data_centre_id& own_data_centre() const;
+
+ private:
+  box_id self_;
+  std::vector<box_entry> boxes_;
+  clock_source& clock_;
+  std::map<box_id, box_view> views_;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/record/feed.cc
@@ -0,0 +1,151 @@
+#include "record/feed.h"
+
+#include <utility>
+#include <vector>
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr milliseconds ask_interval{500};
+constexpr milliseconds subscription{3'000};
+constexpr milliseconds source_patience{1'500};
+constexpr size_t recent_limit = 4 << 20;
+constexpr size_t message_limit = 512 << 10;
+
+}  // namespace detail
+
+feed_source::feed_source(const record_state& state, clock_source& clock,
+                         send_function send)
+    : state_(state), clock_(clock), send_(std::move(send)) {}
+
+void feed_source::applied(const proto::log_entry& entry) {
+  recent_.push_back(entry);
+  recent_bytes_ += entry.ByteSizeLong();
+  while (recent_bytes_ > detail::recent_limit && recent_.size() > 1) {
+    recent_bytes_ -= recent_.front().ByteSizeLong();
+    recent_.pop_front();
+  }
+}
+
+void feed_source::installed() {
+  recent_.clear();
+  recent_bytes_ = 0;
+}
+
+void feed_source::on_request(const box_id& from,
+                             const proto::feed_request& request,
+                             const std::string& leader) {
+  subscriber& it = subscribers_[from];
+  it.sent = request.applied();
+  it.asked = clock_.now();
+  it.leader = leader;
+  if (it.sent < state_.applied()) return send_after(from, it);
+  proto::peer_message m;
+  m.mutable_fed()->set_applied(state_.applied());
+  m.mutable_fed()->set_leader(leader);
+  send_(from, std::move(m));
+}
+
+void feed_source::flush() {
+  const time_point now = clock_.now();
+  for (auto it = subscribers_.begin(); it != subscribers_.end();) {
+    if (now - it->second.asked > detail::subscription) {
+      it = subscribers_.erase(it);
+      continue;
+    }
+    if (it->second.sent < state_.applied()) send_after(it->first, it->second);
+    ++it;
+  }
+}
+
+void feed_source::send_after(const box_id& to, subscriber& it) {
+  proto::peer_message m;
+  proto::feed_reply& reply = *m.mutable_fed();
+  reply.set_leader(it.leader);
+  const bool have = !recent_.empty() && recent_.front().index() <= it.sent + 1;
+  if (!have) {
+    proto::log_snapshot& snapshot = *reply.mutable_snapshot();
+    snapshot.set_index(state_.applied());
+    snapshot.set_term(state_.applied_term());
+    snapshot.set_data(state_.save());
+    it.sent = state_.applied();
+  }
+  size_t n = 0;
+  while (it.sent < state_.applied() && n < detail::message_limit) {
+    const proto::log_entry& entry =
+        recent_[it.sent + 1 - recent_.front().index()];
+    n += entry.ByteSizeLong();
+    *reply.add_entries() = entry;
+    ++it.sent;
+  }
+  reply.set_applied(it.sent);
+  send_(to, std::move(m));
+}
+
+feed_sink::feed_sink(const box_table& boxes, clock_source& clock,
+                     send_function send)
+    : boxes_(boxes), clock_(clock), send_(std::move(send)) {}
+
+void feed_sink::tick(uint64_t applied) {
+  const time_point now = clock_.now();
+  if (asked_ && now - *asked_ < detail::ask_interval) return;
+  const bool silent = now - answered_ > detail::source_patience;
+  const bool lags = source_lags(applied);
+  if (source_.empty() || !boxes_.live(source_) || silent || lags) {
+    source_ = choose();
+    answered_ = now;
+    behind_since_.reset();
+  }
+  if (source_.empty()) return;
+  asked_ = now;
+  proto::peer_message m;
+  m.mutable_feed()->set_applied(applied);
+  send_(source_, std::move(m));
+}
+
+/// True when another live box has long been ahead of this one, which then has
+/// a source that is cut off itself.
+bool feed_sink::source_lags(uint64_t applied) {
+  bool behind = false;
+  for (const box_entry& it : boxes_.boxes()) {
+    if (it.id == boxes_.self() || !boxes_.live(it.id)) continue;
+    behind |= boxes_.view(it.id).digest.applied() > applied;
+  }
+  const time_point now = clock_.now();
+  if (!behind) {
+    behind_since_.reset();
+    return false;
+  }
+  if (!behind_since_) behind_since_ = now;
+  return now - *behind_since_ > detail::source_patience;
+}
+
+void feed_sink::answered(const box_id& from) {
+  if (from == source_) answered_ = clock_.now();
+}
+
+/// The nearest live box: a replica here, a replica elsewhere, then any box
+/// here that is ahead. Among equals the next after the one that fell silent.
+box_id feed_sink::choose() const {
+  const data_centre_id& here = boxes_.own_data_centre();
+  std::vector<box_id> near_replicas;
+  std::vector<box_id> far_replicas;
+  std::vector<box_id> near_boxes;
+  for (const box_entry& it : boxes_.boxes()) {
+    if (it.id == boxes_.self() || !boxes_.live(it.id)) continue;
+    const bool near = it.data_centre == here;
+    if (it.replica) {
+      (near ? near_replicas : far_replicas).push_back(it.id);
+    } else if (near) {
+      near_boxes.push_back(it.id);
+    }
+  }
+  for (const auto* group : {&near_replicas, &far_replicas, &near_boxes}) {
+    for (const box_id& it : *group) {
+      if (it != source_) return it;
+    }
+  }
+  return boxes_.live(source_) ? source_ : box_id();
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/record/feed.h
@@ -0,0 +1,80 @@
+// Spreads the committed entries from the replicas to all boxes. A box asks a
+// source for what follows its last entry; the source answers and then sends
+// each new entry by itself until the box falls silent.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "proto/peer.pb.h"
+#include "record/box-table.h"
+#include "record/record-state.h"
+
+namespace kestrelreel {
+
+/// Sends to one box; the message may be lost.
+using send_function = std::function<void(const box_id&, proto::peer_message)>;
+
+/// The side that gives entries. Every box has one.
+class feed_source {
+ public:
+  feed_source(const record_state& state, clock_source& clock,
+              send_function send);
+
+  /// An entry was applied here.
+  void applied(const proto::log_entry& entry);
+  /// A snapshot was installed here: earlier entries can't be given any more.
+  void installed();
+  /// A box asks for what follows `request.applied()`.
+  void on_request(const box_id& from, const proto::feed_request& request,
+                  const std::string& leader);
+  /// Sends what subscribers lack, at most one message to each.
+  void flush();
+
+ private:
+  struct subscriber {
+    uint64_t sent = 0;
+    time_point asked{};
+    std::string leader;
+  };
+  void send_after(const box_id& to, subscriber& it);
+
+  const record_state& state_;
+  clock_source& clock_;
+  send_function send_;
+  std::deque<proto::log_entry> recent_;
+  size_t recent_bytes_ = 0;
+  std::map<box_id, subscriber> subscribers_;
+};
+
+/// The side that takes entries, on boxes without a replica.
+class feed_sink {
+ public:
+  feed_sink(const box_table& boxes, clock_source& clock, send_function send);
+
+  /// Asks a source when one is due; `applied` is the last entry here.
+  void tick(uint64_t applied);
+  /// The box that is asked now; empty when none is reachable.
+  const box_id& source() const { return source_; }
+  /// Notes that the source answered.
+  void answered(const box_id& from);
+
+ private:
+  box_id choose() const;
+  bool source_lags(uint64_t applied);
+
+  const box_table& boxes_;
+  clock_source& clock_;
+  send_function send_;
+  box_id source_;
+  std::optional<time_point> asked_;
+  time_point answered_{};
+  std::optional<time_point> behind_since_;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/record/spec.h
@@ -0,0 +1,48 @@
+// The items of a desired state: their keys, fingerprints and differences.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/units.h"
+#include "proto/record.pb.h"
+
+namespace kestrelreel {
+
+/// Items by key, such as `service/iklim-servis`.
+using spec_items = std::map<std::string, proto::spec_item>;
+
+/// The key that an item's kind and name give it.
+std::string key_of(const proto::spec_item& item);
+/// Items by their keys.
+spec_items by_key(
+    const google::protobuf::RepeatedPtrField<proto::spec_item>& items);
+
+/// Fingerprint of one item; equal items have equal ones on all machines.
+uint64_t digest_of(const proto::spec_item& item);
+/// Fingerprint of all: the sum of the items', so that a change of one item
+/// costs no look at the others.
+uint64_t digest_of(const spec_items& items);
+
+/// How one desired state differs from another.
+struct spec_difference {
+  std::vector<std::string> added;
+  std::vector<std::string> changed;
+  std::vector<std::string> removed;
+  bool empty() const {
+    return added.empty() && changed.empty() && removed.empty();
+  }
+};
+
+/// What leads from `from` to `to`.
+spec_difference compare(const spec_items& from, const spec_items& to);
+/// The change that leads from `from` to `to`; versions and names are left to
+/// the caller.
+proto::state_change make_change(const spec_items& from, const spec_items& to);
+
+/// Conversions between the wire's resources and the strong types.
+resource_amount to_amount(const proto::resources& r);
+proto::resources to_proto(const resource_amount& r);
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/routing/entry-server.h
@@ -0,0 +1,49 @@
+// Accepts callers' connections at an entry box and ends them in an orderly way
+// when the box stops.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "routing/caller-session.h"
+
+namespace kestrelreel {
+
+/// Listens on `address`; `AlreadyExists` when it is taken.
+absl::StatusOr<boost::asio::ip::tcp::acceptor> listen_on(
+    boost::asio::io_context& io, const std::string& address);
+
+/// The callers' side of an entry box.
+class entry_server {
+ public:
+  entry_server(entry_context& context, uint64_t max_connections);
+
+  /// Begins to accept.
+  absl::Status start(const std::string& address);
+  /// Accepts no more and lets the requests in flight end; connections without
+  /// one are closed after `idle_wait`. `drained` is called once all are closed.
+  void drain(milliseconds idle_wait, std::function<void()> drained);
+  /// Connections open now.
+  uint64_t connections() const { return sessions_.size(); }
+
+ private:
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+  entry_context& context_;
+  uint64_t max_connections_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer idle_timer_;
+  std::set<caller_session*> sessions_;
+  std::function<void()> drained_;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/support/cmake/packages.cmake
@@ -0,0 +1,36 @@
+# Helpers of the workspace: a package is a folder with its headers, sources
+# and tests beside each other.
+
+set(KESTRELREEL_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion
+                         -Wnon-virtual-dtor -Werror)
+if(KESTRELREEL_SANITIZE)
+  add_compile_options(-fsanitize=${KESTRELREEL_SANITIZE}
+                      -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${KESTRELREEL_SANITIZE})
+endif()
+
+# kestrelreel_package(NAME SOURCES a.cc b.cc LIBRARIES base ...)
+# Other packages are named plainly, libraries by their target.
+function(kestrelreel_package name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LIBRARIES" ${ARGN})
+  add_library(kestrelreel_${name} STATIC ${arg_SOURCES})
+  target_compile_options(kestrelreel_${name} PRIVATE ${KESTRELREEL_WARNINGS})
+  target_include_directories(kestrelreel_${name} PUBLIC ${PROJECT_SOURCE_DIR})
+  foreach(library ${arg_LIBRARIES})
+    if(TARGET kestrelreel_${library})
+      set(library kestrelreel_${library})
+    endif()
+    target_link_libraries(kestrelreel_${name} PUBLIC ${library})
+  endforeach()
+endfunction()
+
+# kestrelreel_test(PACKAGE a-test.cc ...): one test program for the package.
+function(kestrelreel_test package)
+  add_executable(${package}-test ${ARGN}
+                 ${PROJECT_SOURCE_DIR}/support/test-main.cc)
+  target_compile_options(${package}-test PRIVATE ${KESTRELREEL_WARNINGS})
+  target_include_directories(${package}-test PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${package}-test PRIVATE kestrelreel_${package}
+                        ${CPPUTEST_LIBRARY})
+  add_test(NAME ${package} COMMAND ${package}-test)
+endfunction()
