--- a/config/settings.h
+++ b/config/settings.h
@@ -45,7 +45,7 @@
   std::string placement_policy = "packing";
   request_limits limits;
   milliseconds holder_lease{3'000};
-  milliseconds task_lease{6'000};
+  milliseconds task_lease{8'000};
   unsigned clock_drift_percent = 5;
 
   /// The entry of this box.
--- a/daemon/holder-service.cc
+++ b/daemon/holder-service.cc
@@ -1,5 +1,6 @@
 #include "daemon/holder-service.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <map>
@@ -36,21 +37,14 @@
   book.task_lease = settings.task_lease;
   book.drift_percent = settings.clock_drift_percent;
   book_ = std::make_unique<task_book>(book, *policy_, context_.clock);
+  make_leases();
   const box_table& boxes = record_->boxes();
-  const auto here = boxes.in_data_centre(boxes.own_data_centre());
-  lease_settings lease;
-  lease.duration = settings.holder_lease;
-  lease.drift_percent = settings.clock_drift_percent;
-  lease_ = std::make_unique<holder_lease>(
-      settings.box, here, lease, context_.clock,
-      [this](const box_id& to, proto::peer_message m) {
-        network_->send(to, std::move(m));
-      });
-  lender_ =
-      std::make_unique<slot_lender>(here, loan_settings(), context_.clock);
+  lender_ = std::make_unique<slot_lender>(
+      boxes.in_data_centre(boxes.own_data_centre()), loan_settings(),
+      context_.clock);
   workers_ = std::make_unique<grpc_worker_link>(context_.io);
   subscribe();
-  lease_timer_.start(lease.duration / detail::ticks_per_lease,
+  lease_timer_.start(settings.holder_lease / detail::ticks_per_lease,
                      [this] { lease_tick(); });
   work_timer_.start(detail::work_interval, [this] { work_tick(); });
   slow_timer_.start(detail::slow_interval, [this] {
@@ -60,6 +54,31 @@
   return absl::OkStatus();
 }
 
+void holder_service::make_leases() {
+  const box_table& boxes = record_->boxes();
+  lease_settings settings;
+  settings.duration = context_.settings.holder_lease;
+  settings.drift_percent = context_.settings.clock_drift_percent;
+  for (const box_entry& box : boxes.boxes()) {
+    const data_centre_id& it = box.data_centre;
+    const auto grantors = lease_grantors(boxes, it);
+    const bool grants = std::find(grantors.begin(), grantors.end(),
+                                  boxes.self()) != grantors.end();
+    if (!grants || leases_.contains(it)) continue;
+    leases_[it] = std::make_unique<holder_lease>(
+        boxes.self(), it, grantors, settings, context_.clock,
+        [this](const box_id& to, proto::peer_message m) {
+          network_->send(to, std::move(m));
+        });
+  }
+  lease_ = leases_.at(boxes.own_data_centre()).get();
+}
+
+holder_lease* holder_service::find_lease(const std::string& data_centre) {
+  const auto it = leases_.find(data_centre_id(data_centre));
+  return it == leases_.end() ? nullptr : it->second.get();
+}
+
 void holder_service::stop() {
   lease_timer_.stop();
   work_timer_.stop();
@@ -70,10 +89,13 @@
 void holder_service::subscribe() {
   using body = proto::peer_message;
   network_->subscribe(body::kLease, [this](const auto& from, const auto& m) {
-    lease_->on_request(from, m.lease());
+    holder_lease* it = find_lease(m.lease().data_centre());
+    if (it != nullptr) it->on_request(from, m.lease());
   });
   network_->subscribe(body::kLeased, [this](const auto& from, const auto& m) {
-    lease_->on_reply(from, m.leased());
+    holder_lease* it = find_lease(m.leased().data_centre());
+    if (it == nullptr) return;
+    it->on_reply(from, m.leased());
     lease_tick();
   });
   network_->subscribe(body::kRunners, [this](const auto& from, const auto& m) {
--- a/daemon/holder-service.h
+++ b/daemon/holder-service.h
@@ -2,6 +2,7 @@
 // it, decides what its workers run and lends their slots to the entry boxes.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
   void resign();
 
  private:
+  void make_leases();
+  holder_lease* find_lease(const std::string& data_centre);
   void subscribe();
   void lease_tick();
   void begin_reign();
@@ -62,7 +65,10 @@
   record_service* record_ = nullptr;
   std::unique_ptr<placement_policy> policy_;
   std::unique_ptr<task_book> book_;
-  std::unique_ptr<holder_lease> lease_;
+  // This box's part in the lease of its own data centre, and in those of
+  // small ones that need a grantor from elsewhere.
+  holder_lease* lease_ = nullptr;
+  std::map<data_centre_id, std::unique_ptr<holder_lease>> leases_;
   std::unique_ptr<slot_lender> lender_;
   std::unique_ptr<grpc_worker_link> workers_;
   bool active_ = false;
--- a/placement/holder-lease-test.cc
+++ b/placement/holder-lease-test.cc
@@ -42,7 +42,7 @@
 
   void start(size_t i) {
     leases[i] = std::make_unique<holder_lease>(
-        names[i], names, lease_settings(), clocks[i],
+        names[i], data_centre_id("d"), names, lease_settings(), clocks[i],
         [this, i](const box_id& to, proto::peer_message m) {
           for (size_t j = 0; j < names.size(); ++j) {
             if (names[j] == to) mail.push_back({i, j, std::move(m)});
@@ -100,6 +100,31 @@
   CHECK_TRUE(steps_held > 60'000);
 }
 
+TEST(holder_lease, small_data_centres_have_grantors_elsewhere) {
+  struct {
+    std::vector<const char*> boxes;
+    std::vector<const char*> grantors;
+  } const rows[] = {
+      {{"d1", "d2", "d3", "e1"}, {"d1", "d2", "d3"}},
+      {{"e1", "d1", "d2", "e2"}, {"d1", "d2", "e1"}},
+      {{"e1", "d1", "e2", "e3"}, {"d1", "e1", "e2"}},
+      {{"d1", "d2"}, {"d1", "d2"}},
+      {{"d1", "d2", "d3", "d4"}, {"d1", "d2", "d3", "d4"}},
+  };
+  for (const auto& row : rows) {
+    std::vector<box_entry> entries;
+    for (const char* it : row.boxes) {
+      entries.push_back(
+          {box_id(it), data_centre_id(std::string(1, it[0])), "", false});
+    }
+    drifting_clock clock;
+    const box_table table(box_id("d1"), entries, clock);
+    std::vector<box_id> wanted;
+    for (const char* it : row.grantors) wanted.emplace_back(it);
+    CHECK_TRUE(lease_grantors(table, data_centre_id("d")) == wanted);
+  }
+}
+
 TEST(holder_lease, epochs_rise) {
   lease_world world(7, 3);
   uint64_t last = 0;
--- a/placement/holder-lease.cc
+++ b/placement/holder-lease.cc
@@ -13,11 +13,24 @@
 
 }  // namespace detail
 
-holder_lease::holder_lease(box_id self, std::vector<box_id> boxes,
+std::vector<box_id> lease_grantors(const box_table& boxes,
+                                   const data_centre_id& data_centre) {
+  constexpr size_t least_grantors = 3;
+  std::vector<box_id> result = boxes.in_data_centre(data_centre);
+  for (const box_entry& it : boxes.boxes()) {
+    if (result.size() >= least_grantors) break;
+    if (it.data_centre != data_centre) result.push_back(it.id);
+  }
+  return result;
+}
+
+holder_lease::holder_lease(box_id self, data_centre_id data_centre,
+                           std::vector<box_id> grantors,
                            lease_settings settings, clock_source& clock,
                            send_function send)
     : self_(std::move(self)),
-      boxes_(std::move(boxes)),
+      data_centre_(std::move(data_centre)),
+      boxes_(std::move(grantors)),
       settings_(settings),
       clock_(clock),
       send_(std::move(send)),
@@ -55,6 +68,7 @@
   next_ask_ = now + settings_.duration / 3;
   if (!renews) next_ask_ += settings_.with_drift() + milliseconds(250) * rank;
   proto::peer_message m;
+  m.mutable_lease()->set_data_centre(data_centre_.str());
   m.mutable_lease()->set_round(round_);
   m.mutable_lease()->set_epoch(epoch_);
   m.mutable_lease()->set_duration_ms(
@@ -90,6 +104,7 @@
   }
   proto::peer_message m;
   proto::lease_reply& reply = *m.mutable_leased();
+  reply.set_data_centre(data_centre_.str());
   reply.set_round(request.round());
   reply.set_granted(grant(from, request));
   reply.set_epoch(highest_epoch_);
@@ -116,6 +131,7 @@
   epoch_ = 0;
   held_until_ = clock_.now();
   proto::peer_message m;
+  m.mutable_lease()->set_data_centre(data_centre_.str());
   m.mutable_lease()->set_epoch(ended);
   m.mutable_lease()->set_release(true);
   on_request(self_, m.lease());
--- a/placement/holder-lease.h
+++ b/placement/holder-lease.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "proto/peer.pb.h"
+#include "record/box-table.h"
 
 namespace kestrelreel {
 
@@ -24,19 +25,26 @@
   }
 };
 
+/// The boxes that grant a data centre's lease: its own, and where those are
+/// fewer than three, others of the cluster in the order of the settings, so
+/// that one lost box leaves a majority.
+std::vector<box_id> lease_grantors(const box_table& boxes,
+                                   const data_centre_id& data_centre);
+
 /// One box's part in the lease: it grants, and asks for it when nobody holds
 /// it. Pure: messages and ticks in, messages out.
 class holder_lease {
  public:
   using send_function = std::function<void(const box_id&, proto::peer_message)>;
 
-  /// `boxes` are all boxes of the data centre, this one included; their order
-  /// says who asks first.
-  holder_lease(box_id self, std::vector<box_id> boxes, lease_settings settings,
+  /// `grantors` are all boxes that grant, this one included; their order says
+  /// who asks first.
+  holder_lease(box_id self, data_centre_id data_centre,
+               std::vector<box_id> grantors, lease_settings settings,
                clock_source& clock, send_function send);
 
-  /// To be called several times per lease. `other_holder` tells that a live
-  /// box says it holds the lease.
+  /// To be called several times per lease, on boxes of the data centre alone.
+  /// `other_holder` tells that a live box says it holds the lease.
   void tick(bool other_holder);
   void on_request(const box_id& from, const proto::lease_request& request);
   void on_reply(const box_id& from, const proto::lease_reply& reply);
@@ -58,6 +66,7 @@
   bool grant(const box_id& from, const proto::lease_request& request);
 
   box_id self_;
+  data_centre_id data_centre_;
   std::vector<box_id> boxes_;
   lease_settings settings_;
   clock_source& clock_;
--- a/placement/task-book-sync.cc
+++ b/placement/task-book-sync.cc
@@ -160,7 +160,8 @@
   worker.echo_ms = reply.clock_ms();
   worker.incarnation = reply.incarnation();
   if (reply.whole()) {
-    worker.synced = true;
+    // What an earlier holder started must be renewed soon: its leases run out.
+    if (!std::exchange(worker.synced, true)) prompt(worker);
     worker.have_report = reply.report_digest();
     note_reports(worker, reply);
     ++counters_.whole_reports;
--- a/placement/task-book-test.cc
+++ b/placement/task-book-test.cc
@@ -317,6 +317,22 @@
   CHECK_EQUAL(4, world.checker.running());
 }
 
+// The last holder's renewals may be two intervals old when it is lost, and
+// the next one needs up to 3.4 s to get its lease.
+TEST(task_book, a_new_holder_renews_before_the_old_leases_end) {
+  book_world world(1, {});
+  world.add_tasks(4, task_class::service, 1'000, milliseconds(0));
+  world.run(600);
+  for (int round = 0; round < 10; ++round) {
+    world.faults.loss = 1'000;
+    world.run(170 + 7 * static_cast<unsigned>(round % 3));
+    world.faults.loss = 0;
+    world.new_book();
+    world.run(600);
+  }
+  CHECK_EQUAL(4, world.checker.starts);
+}
+
 TEST(task_book, an_order_of_an_older_holder_is_refused) {
   book_world world(1, {}, 1);
   world.add_tasks(1, task_class::batch, 1'000, milliseconds(60'000));
@@ -330,7 +346,7 @@
 // Found by "delays and new holders, seed 11: w0 is overfull".
 TEST(task_book, a_start_ordered_twice_is_not_given_up_on_after_one_answer) {
   book_world world(1, {}, 1);
-  world.run(400);
+  world.run(600);
   world.add_tasks(1, task_class::batch, 1'000, milliseconds(60'000));
   world.book->set_tasks(world.wanted);
   world.book->place();
@@ -340,7 +356,7 @@
   const proto::sync_request second = world.book->next_sync(w0);
   CHECK_EQUAL(1, second.starts_size());
   // The first arrives so late that the worker no longer takes its start.
-  world.workers[0]->clock.at += 7'000;
+  world.workers[0]->clock.at += 9'000;
   world.book->on_reply(world.workers[0]->it->sync(first));
   CHECK_EQUAL(0, world.checker.running());
   CHECK_TRUE(world.book->tasks().begin()->second.run != nullptr);
--- a/placement/task-book.h
+++ b/placement/task-book.h
@@ -27,7 +27,7 @@
 struct book_settings {
   /// A task stops by itself this long after the worker's last reply that the
   /// holder had seen when it renewed.
-  milliseconds task_lease{6'000};
+  milliseconds task_lease{8'000};
   unsigned drift_percent = 5;
   /// Least time between two exchanges with one worker, without and with orders
   /// to give.
