Rolling restart under load; /readyz waits until a box may grant leases

Cause: support/rolling-restart, new, stopped the next box as soon as the last one was live again. A box that has just started grants no leases for 3.15 s, so with boxes 2 s apart two of demre's three could not grant for 8.5 s (epochs 1 to 3 within 3 s, then none): the task leases of 8 s ran out and 21 tasks were started anew. Ruled out: the hand-over itself (epochs 2 and 3 began 0.13 and 0.25 s after the stop), the renewal by a new holder.

A box that knows no services yet answers 503 catching-up in place of 404 unknown-service.

--- a/base/text.cc
+++ b/base/text.cc
@@ -66,7 +66,9 @@
 std::string quote_value(std::string_view value) {
   if (!detail::needs_quotes(value)) return std::string(value);
   std::string out = "\"";
-  for (const unsigned char c : value) detail::append_escaped(out, c);
+  for (const char c : value) {
+    detail::append_escaped(out, static_cast<unsigned char>(c));
+  }
   return out + '"';
 }
 
--- a/config/reader.cc
+++ b/config/reader.cc
@@ -121,7 +121,7 @@
 }
 
 std::string object_reader::text(std::string_view name,
-                                std::optional<std::string> fallback) {
+                                const std::optional<std::string>& fallback) {
   constexpr std::string_view allowed = "a text that is not empty";
   const json_node* it = take(name, !fallback, allowed);
   if (it == nullptr) return fallback.value_or("");
@@ -200,7 +200,7 @@
 }
 
 std::string object_reader::address(std::string_view name,
-                                   std::optional<std::string> fallback) {
+                                   const std::optional<std::string>& fallback) {
   constexpr std::string_view allowed =
       R"(an IP number and port, such as "127.0.1.1:7400")";
   const json_node* it = take(name, !fallback, allowed);
@@ -213,7 +213,7 @@
 
 std::string object_reader::word(std::string_view name,
                                 const std::vector<std::string>& words,
-                                std::optional<std::string> fallback) {
+                                const std::optional<std::string>& fallback) {
   const std::string allowed = str_cat("one of ", absl::StrJoin(words, ", "));
   const json_node* it = take(name, !fallback, allowed);
   if (it == nullptr) return fallback.value_or("");
--- a/config/reader.h
+++ b/config/reader.h
@@ -64,7 +64,7 @@
   /// Each reads a member, which must stand there unless a fallback is given.
   /// On a fault the fallback or an empty value comes back.
   std::string text(std::string_view name,
-                   std::optional<std::string> fallback = std::nullopt);
+                   const std::optional<std::string>& fallback = std::nullopt);
   uint64_t number(std::string_view name, number_range range,
                   std::optional<uint64_t> fallback = std::nullopt);
   bool flag(std::string_view name, bool fallback);
@@ -76,11 +76,12 @@
   cpu_milli processors(std::string_view name,
                        std::optional<cpu_milli> fallback = std::nullopt);
   /// An `IP:PORT` text.
-  std::string address(std::string_view name,
-                      std::optional<std::string> fallback = std::nullopt);
+  std::string address(
+      std::string_view name,
+      const std::optional<std::string>& fallback = std::nullopt);
   /// One of the words.
   std::string word(std::string_view name, const std::vector<std::string>& words,
-                   std::optional<std::string> fallback = std::nullopt);
+                   const std::optional<std::string>& fallback = std::nullopt);
   std::vector<std::string> texts(std::string_view name);
   /// Calls `read` for each member of an object of named things. Names must
   /// consist of lower-case letters, digits, `-` and `.`, and begin with a
--- a/daemon/entry-service.cc
+++ b/daemon/entry-service.cc
@@ -81,7 +81,10 @@
 }
 
 bool entry_service::ready() const {
-  return have_table_ && record_->ready() && !context_.stopping;
+  // Whoever restarts boxes in turn waits for this: were the next one stopped
+  // before this one may grant, the data centre's lease would lack a majority.
+  return have_table_ && holder_->grants() && record_->ready() &&
+         !context_.stopping;
 }
 
 void entry_service::drain(std::function<void()> drained) {
--- a/daemon/holder-service.h
+++ b/daemon/holder-service.h
@@ -38,6 +38,8 @@
   const task_book& book() const { return *book_; }
   /// The box that says it holds the lease; empty when none does.
   box_id holder() const;
+  /// True once this box counts as a grantor again after its start.
+  bool grants() const { return lease_->grants(); }
   /// Hands the lease back before a planned stop.
   void resign();
 
--- a/placement/holder-lease.h
+++ b/placement/holder-lease.h
@@ -51,6 +51,9 @@
   /// Ends a held lease at once; this box no longer asks for it.
   void resign();
 
+  /// True once this box may grant: a grantor that has just started waits out
+  /// the leases that it may have granted before.
+  bool grants() const { return clock_.now() >= silent_until_; }
   /// True while this box holds the lease. To be asked before each decision.
   bool held() const;
   /// Epoch of the lease held; only meaningful while `held`.
--- a/routing/caller-session.cc
+++ b/routing/caller-session.cc
@@ -167,6 +167,10 @@
   it.info.id = context_.router.next_id();
   it.info.tenant = std::string(it.request[tenant_header]);
   it.info.repeatable = detail::method_repeats(it.request.method());
+  if (it.service == nullptr && !context_.router.loaded()) {
+    return request_error{verdict::not_run, detail::status_unavailable,
+                         "catching-up"};
+  }
   if (it.service == nullptr) {
     return request_error{verdict::not_run, detail::status_not_found,
                          "unknown-service"};
--- a/routing/entry-server.cc
+++ b/routing/entry-server.cc
@@ -55,6 +55,11 @@
   return absl::OkStatus();
 }
 
+uint16_t entry_server::port() const {
+  boost::system::error_code ec;
+  return acceptor_.local_endpoint(ec).port();
+}
+
 boost::asio::awaitable<void> entry_server::accept() {
   boost::asio::steady_timer pause(context_.io);
   for (;;) {
--- a/routing/entry-server.h
+++ b/routing/entry-server.h
@@ -31,6 +31,8 @@
   /// Accepts no more and lets the requests in flight end; connections without
   /// one are closed after `idle_wait`. `drained` is called once all are closed.
   void drain(milliseconds idle_wait, std::function<void()> drained);
+  /// The port that it listens on; of use after a start on port 0.
+  uint16_t port() const;
   /// Connections open now.
   uint64_t connections() const { return sessions_.size(); }
 
--- a/routing/service-router.cc
+++ b/routing/service-router.cc
@@ -13,6 +13,7 @@
       clock_(clock) {}
 
 void service_router::set_services(const spec_items& items) {
+  loaded_ = true;
   wanted_.clear();
   for (const auto& [key, item] : items) {
     if (!item.has_service()) continue;
--- a/routing/service-router.h
+++ b/routing/service-router.h
@@ -39,6 +39,8 @@
   /// Where this box holds lent slots now; see `runner_request`.
   void add_holdings(proto::runner_request& request) const;
 
+  /// True once a desired state is known here.
+  bool loaded() const { return loaded_; }
   /// A service of the desired state; null for an unknown one.
   routed_service* find(const std::string& name);
   /// A number for the next request.
@@ -70,6 +72,7 @@
   random_source& random_;
   clock_source& clock_;
   uint64_t last_id_ = 0;
+  bool loaded_ = false;
   std::map<std::string, routed_service> services_;
   std::map<std::string, bool> wanted_;
   std::map<uint64_t, on_decision> waiting_;
--- a/support/capacity/book.cc
+++ b/support/capacity/book.cc
@@ -52,12 +52,12 @@
     place_us = (cpu_us() - begun) / static_cast<double>(tasks_.size());
     exchange_all();
     clock_.at += milliseconds(1'500);
-    bytes_out = bytes_in = 0;
+    bytes_out_ = bytes_in_ = 0;
     const double exchange_begun = cpu_us();
     exchange_all();
     exchange_us = (cpu_us() - exchange_begun) / static_cast<double>(workers_);
-    quiet_out = bytes_out / static_cast<double>(workers_);
-    quiet_in = bytes_in / static_cast<double>(workers_);
+    quiet_out = bytes_out_ / static_cast<double>(workers_);
+    quiet_in = bytes_in_ / static_cast<double>(workers_);
     worker_bytes = (with_workers - empty) / static_cast<double>(workers_);
     task_bytes =
         (heap_bytes() - with_workers) / static_cast<double>(tasks_.size());
@@ -97,11 +97,11 @@
   void exchange_all() {
     for (size_t i = 0; i < workers_; ++i) {
       const std::string out = book_.next_sync(list_[i].id).SerializeAsString();
-      bytes_out += static_cast<double>(out.size());
+      bytes_out_ += static_cast<double>(out.size());
       proto::sync_request request;
       request.ParseFromString(out);
       const std::string in = answer(i, request).SerializeAsString();
-      bytes_in += static_cast<double>(in.size());
+      bytes_in_ += static_cast<double>(in.size());
       proto::sync_reply reply;
       reply.ParseFromString(in);
       book_.on_reply(reply);
@@ -161,8 +161,8 @@
   }
 
   size_t workers_;
-  double bytes_out = 0;
-  double bytes_in = 0;
+  double bytes_out_ = 0;
+  double bytes_in_ = 0;
   std::shared_ptr<const task_shape> shape_;
   std::vector<worker_info> list_;
   std::vector<proto::sync_reply> replies_;
--- a/support/cluster.sh
+++ b/support/cluster.sh
@@ -52,3 +52,14 @@
 leader() { json status | tr '{' '\n' | grep '"role":"leader"' |
   sed 's/.*"box":"\([^"]*\)".*/\1/'; }
 has_leader() { [ -n "$(leader)" ]; }
+# Where each service's replica and each plan runs, with its attempt.
+placement() { json tasks | tr '{' '\n' |
+  grep '"phase":"running"' | grep -v vent-history |
+  sed 's/.*"task":"\([^"]*\)".*"worker":"\([^"]*\)","attempt":\([0-9]*\).*/\1 \2 \3/' |
+  sort; }
+# ready_at IP:PORT: whether the box at that admin address takes callers.
+ready_at() {
+  exec 3<> "/dev/tcp/${1%:*}/${1#*:}" || return 1
+  printf 'GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&3
+  grep -q "^HTTP/1.1 200" <&3
+}
