--- a/routing/caller-session.cc
+++ b/routing/caller-session.cc
@@ -19,11 +19,36 @@
 constexpr auto await = boost::asio::as_tuple(boost::asio::use_awaitable);
 constexpr uint32_t header_limit = 16 << 10;
 constexpr size_t piece_size = 16 << 10;
+constexpr unsigned http_1_1 = 11;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
+constexpr int status_too_slow = 408;
+constexpr int status_body_too_large = 413;
+constexpr int status_header_too_large = 431;
 constexpr int status_unavailable = 503;
 constexpr milliseconds longest_deadline{3'600'000};
 
+request_error body_too_large() {
+  return {verdict::not_run, status_body_too_large, "body-too-large"};
+}
+
+/// What to tell the caller of a header that could not be read; nothing when
+/// the connection just ended.
+std::optional<request_error> fault_of_header(boost::system::error_code ec) {
+  if (!ec || ec == http::error::end_of_stream ||
+      ec == http::error::partial_message) {
+    return std::nullopt;
+  }
+  if (ec == http::error::body_limit) return body_too_large();
+  if (ec == http::error::header_limit) {
+    return request_error{verdict::not_run, status_header_too_large,
+                         "header-too-large"};
+  }
+  const boost::system::error_code any = http::error::bad_method;
+  if (ec.category() != any.category()) return std::nullopt;
+  return request_error{verdict::not_run, status_bad_request, "bad-request"};
+}
+
 /// The first segment of the path: the service's name.
 std::string service_of(std::string_view target) {
   if (target.empty() || target[0] != '/') return "";
@@ -119,7 +144,7 @@
 
 boost::asio::awaitable<std::optional<caller_session::exchange>>
 caller_session::read_request() {
-  detail::http::request_parser<detail::http::string_body> parser;
+  request_parser parser;
   parser.header_limit(detail::header_limit);
   parser.body_limit(context_.limits.body.value);
   stream_.expires_after(context_.limits.idle);
@@ -127,38 +152,33 @@
   const auto [ec, n] = co_await detail::http::async_read_header(
       stream_, buffer_, parser, detail::await);
   idle_ = false;
-  if (ec == detail::http::error::header_limit) {
-    co_await send_fault(431, "header-too-large");
-  } else if (ec == detail::http::error::body_limit) {
-    co_await send_fault(413, "body-too-large");
-  } else if (ec &&
-             ec.category() ==
-                 detail::http::make_error_code(detail::http::error::bad_method)
-                     .category() &&
-             ec != detail::http::error::end_of_stream &&
-             ec != detail::http::error::partial_message) {
-    co_await send_fault(400, "bad-request");
+  if (const auto fault = detail::fault_of_header(ec)) {
+    co_await send_fault(*fault);
   }
-  if (ec) co_return std::nullopt;
+  if (ec || !co_await read_body(parser)) co_return std::nullopt;
+  exchange it;
+  it.request = parser.release();
+  it.keep_alive = it.request.keep_alive();
+  co_return it;
+}
+
+boost::asio::awaitable<bool> caller_session::read_body(request_parser& parser) {
   if (detail::http::token_list(parser.get()[detail::http::field::expect])
           .exists("100-continue")) {
     detail::http::response<detail::http::string_body> go_on(
-        detail::http::status::continue_, 11);
+        detail::http::status::continue_, detail::http_1_1);
     co_await detail::http::async_write(stream_, go_on, detail::await);
   }
   stream_.expires_after(context_.limits.idle);
-  const auto [body_ec, m] = co_await detail::http::async_read(
-      stream_, buffer_, parser, detail::await);
-  if (body_ec == detail::http::error::body_limit) {
-    co_await send_fault(413, "body-too-large");
-  } else if (body_ec == boost::beast::error::timeout) {
-    co_await send_fault(408, "request-too-slow");
+  const auto [ec, n] = co_await detail::http::async_read(stream_, buffer_,
+                                                         parser, detail::await);
+  if (ec == detail::http::error::body_limit) {
+    co_await send_fault(detail::body_too_large());
+  } else if (ec == boost::beast::error::timeout) {
+    co_await send_fault(
+        {verdict::not_run, detail::status_too_slow, "request-too-slow"});
   }
-  if (body_ec) co_return std::nullopt;
-  exchange it;
-  it.request = parser.release();
-  it.keep_alive = it.request.keep_alive();
-  co_return it;
+  co_return !ec;
 }
 
 std::optional<request_error> caller_session::prepare(exchange& it) {
@@ -188,7 +208,7 @@
   remove_hop_headers(it.request);
   it.request.erase(detail::http::field::expect);
   it.request.set(request_id_header, str_cat(context_.box, "-", it.info.id));
-  it.request.version(11);
+  it.request.version(detail::http_1_1);
   it.request.keep_alive(true);
   it.request.prepare_payload();
 }
@@ -298,7 +318,7 @@
   const bool head = it.request.method() == detail::http::verb::head;
   const bool sized = answer.count(detail::http::field::content_length) > 0;
   remove_hop_headers(answer);
-  answer.version(11);
+  answer.version(detail::http_1_1);
   // Clearing the flag would take the length out of the header.
   if (!sized && !head) answer.chunked(true);
   answer.keep_alive(it.keep_alive && !context_.stopping);
@@ -332,7 +352,7 @@
     std::optional<milliseconds> retry_after) {
   const bool keep = it.keep_alive && !context_.stopping;
   detail::http::response<detail::http::string_body> answer(
-      static_cast<detail::http::status>(error.status), 11);
+      static_cast<detail::http::status>(error.status), detail::http_1_1);
   answer.set(verdict_header, to_string(error.ran));
   answer.set(reason_header, error.reason);
   if (retry_after) {
@@ -357,12 +377,11 @@
   co_return ec || !keep ? outcome::close : outcome::keep;
 }
 
-boost::asio::awaitable<void> caller_session::send_fault(unsigned status,
-                                                        std::string reason) {
+/// Answers what is no request; the connection ends with it.
+boost::asio::awaitable<void> caller_session::send_fault(
+    const request_error& error) {
   exchange none;
   none.keep_alive = false;
-  const request_error error{verdict::not_run, static_cast<int>(status),
-                            std::move(reason)};
   co_await send_error(none, error, std::nullopt);
   boost::system::error_code ec;
   stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
--- a/routing/caller-session.h
+++ b/routing/caller-session.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -59,7 +61,11 @@
   };
   enum class outcome { keep, close };
 
+  using request_parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
   boost::asio::awaitable<std::optional<exchange>> read_request();
+  boost::asio::awaitable<bool> read_body(request_parser& parser);
   std::optional<request_error> prepare(exchange& it);
   void prepare_upstream(exchange& it);
   boost::asio::awaitable<outcome> serve(exchange& it);
@@ -75,7 +81,7 @@
   boost::asio::awaitable<outcome> send_error(
       exchange& it, const request_error& error,
       std::optional<milliseconds> retry_after);
-  boost::asio::awaitable<void> send_fault(unsigned status, std::string reason);
+  boost::asio::awaitable<void> send_fault(const request_error& error);
   milliseconds remaining(const exchange& it) const;
   void count(const exchange& it, std::string_view result);
 
--- a/support/cluster.sh
+++ b/support/cluster.sh
@@ -57,9 +57,16 @@
   grep '"phase":"running"' | grep -v vent-history |
   sed 's/.*"task":"\([^"]*\)".*"worker":"\([^"]*\)","attempt":\([0-9]*\).*/\1 \2 \3/' |
   sort; }
-# ready_at IP:PORT: whether the box at that admin address takes callers.
-ready_at() {
+# http_get IP:PORT PATH: prints the answer with its header.
+http_get() {
   exec 3<> "/dev/tcp/${1%:*}/${1#*:}" || return 1
-  printf 'GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&3
-  grep -q "^HTTP/1.1 200" <&3
+  printf 'GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' "$2" >&3
+  cat <&3
+  exec 3<&-
+}
+# ready_at IP:PORT: whether the box at that admin address takes callers.
+ready_at() { http_get "$1" /readyz | grep -q "^HTTP/1.1 200"; }
+# counter DATA-CENTRE-NUMBER NAME: what its backend servers and workers saw.
+counter() {
+  http_get "127.0.$1.100:7600" /counters | grep -o "\"$2\":[0-9]*" | cut -d: -f2
 }
