Holder's lease: a failed try gives its grants back and is soon made again

Its restarted box asked for the lease 3.15 s after its start, met the dead holder's grant at the borrowed grantor, and waited 4.2 s before its second try: 6.9 s without a holder, and the task leases of 8 s had run out. Ruled out: the grantors (the borrowed one granted as soon as it might), the renewal by the new holder, the busy machine (the log shows the pause).

Change: a try that has no majority after half a second releases what it was granted, and the next one follows after 0.1 s and 0.5 s for each place in the grantors' list. A late grant of a released try counts for nothing.

--- a/placement/holder-lease-test.cc
+++ b/placement/holder-lease-test.cc
@@ -156,6 +156,36 @@
   CHECK_TRUE(world.mail.back().m.leased().granted());
 }
 
+// Found by the demo: a box whose first try met the dead holder's grant waited
+// 4.2 s before the next, and the tasks' leases ended.
+TEST(holder_lease, a_refused_box_tries_again_soon) {
+  lease_world world(1, 3);
+  for (auto& it : world.clocks) it.at += 4'000;
+  proto::lease_request other;
+  other.set_epoch(5);
+  other.set_round(1);
+  for (const size_t i : {1, 2}) {
+    world.leases[i]->on_request(box_id("dead"), other);
+  }
+  world.mail.clear();
+  const double begun = world.clocks[0].at;
+  while (!world.leases[0]->held() && world.clocks[0].at < begun + 9'000) {
+    for (auto& it : world.clocks) it.at += 20;
+    world.leases[0]->tick(false);
+    while (!world.mail.empty()) {
+      const letter it = world.mail.back();
+      world.mail.pop_back();
+      if (it.m.has_lease()) {
+        world.leases[it.to]->on_request(world.names[it.from], it.m.lease());
+      } else {
+        world.leases[it.to]->on_reply(world.names[it.from], it.m.leased());
+      }
+    }
+  }
+  // The grant that it meets lasts 3.15 s by the grantor's clock.
+  CHECK_TRUE(world.clocks[0].at - begun < 4'200);
+}
+
 TEST(holder_lease, outbid_ends_the_reign_and_goes_above) {
   lease_world world(1, 1);
   world.clocks[0].at += 4'000;
--- a/placement/holder-lease.cc
+++ b/placement/holder-lease.cc
@@ -46,7 +46,12 @@
   const time_point now = clock_.now();
   if (resigned_ || now < next_ask_) return;
   if (held()) return ask();
-  epoch_ = 0;
+  if (epoch_ != 0) {
+    // The try failed: what was granted goes back, so that others may win.
+    release();
+    next_ask_ = now + turn();
+    return;
+  }
   const bool granted_away = granted_to_ != self_ && now < granted_until_;
   if (other_holder || granted_away) return;
   ask();
@@ -62,11 +67,7 @@
   ++round_;
   asked_at_ = now;
   grants_.clear();
-  // Later boxes leave more time between tries, so that two that ask at once
-  // do not go on refusing each other.
-  const auto rank = static_cast<int>(detail::rank_of(boxes_, self_));
-  next_ask_ = now + settings_.duration / 3;
-  if (!renews) next_ask_ += settings_.with_drift() + milliseconds(250) * rank;
+  next_ask_ = now + settings_.duration / (renews ? 3 : 6);
   proto::peer_message m;
   m.mutable_lease()->set_data_centre(data_centre_.str());
   m.mutable_lease()->set_round(round_);
@@ -125,9 +126,23 @@
   if (!renewed) held_since_ = clock_.now();
 }
 
+/// Later boxes leave more time before they try again, so that two that ask at
+/// once do not go on refusing each other.
+milliseconds holder_lease::turn() const {
+  const auto rank = static_cast<int>(detail::rank_of(boxes_, self_));
+  return settings_.duration / 30 + settings_.duration / 6 * rank;
+}
+
 void holder_lease::resign() {
   resigned_ = true;
+  release();
+}
+
+void holder_lease::release() {
   const uint64_t ended = epoch_;
+  // A grant that comes late counts for nothing.
+  ++round_;
+  grants_.clear();
   epoch_ = 0;
   held_until_ = clock_.now();
   proto::peer_message m;
--- a/placement/holder-lease.h
+++ b/placement/holder-lease.h
@@ -66,6 +66,8 @@
 
  private:
   void ask();
+  void release();
+  milliseconds turn() const;
   bool grant(const box_id& from, const proto::lease_request& request);
 
   box_id self_;
