--- a/base/clock.cc
+++ b/base/clock.cc
@@ -9,6 +9,12 @@
   return std::chrono::duration_cast<milliseconds>(since);
 }
 
+uint64_t wall_clock_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<milliseconds>(now).count());
+}
+
 seeded_random::seeded_random(uint64_t seed) : state_(seed) {
   if (seed != 0) return;
   std::random_device device;
--- a/base/clock.h
+++ b/base/clock.h
@@ -34,6 +34,9 @@
   time_point now() const override;
 };
 
+/// The time of day in ms since 1970; it may jump.
+uint64_t wall_clock_ms();
+
 /// A seeded generator; seed 0 takes the machine's entropy.
 class seeded_random final : public random_source {
  public:
--- a/consensus/log-store.cc
+++ b/consensus/log-store.cc
@@ -188,7 +188,11 @@
   absl::Status status = file_->append(bytes);
   if (status.ok()) status = file_->sync();
   if (status.ok()) size_ += bytes.size();
-  return status;
+  if (!absl::IsResourceExhausted(status)) return status;
+  // Cuts off what a full disk took of the record, so that it can be written
+  // again later.
+  const absl::Status cut = reopen(size_);
+  return cut.ok() ? status : cut;
 }
 
 absl::Status log_store::compact(const proto::log_snapshot& snapshot,
--- a/consensus/log-store.h
+++ b/consensus/log-store.h
@@ -45,7 +45,9 @@
   /// What `open` found; empties the store's copy.
   raft_state take_state() { return std::move(state_); }
 
-  /// Returns once the batch lasts. After an error the store must not be used.
+  /// Returns once the batch lasts. After `ResourceExhausted` (the disk is
+  /// full) nothing of it stands and it may be written again; after any other
+  /// error the store must not be used.
   absl::Status write(const persist_batch& batch);
   /// Writes the file anew with the snapshot and the entries that follow it.
   absl::Status compact(const proto::log_snapshot& snapshot,
--- a/consensus/raft-replication.cc
+++ b/consensus/raft-replication.cc
@@ -68,6 +68,7 @@
   proto::raft_message reply = make(proto::raft_append_reply, m.from());
   reply.set_granted(true);
   reply.set_match(match);
+  reply.set_round(m.round());
   waiting_.push_back(std::move(reply));
 }
 
@@ -79,6 +80,7 @@
   }
   proto::raft_message reply = make(proto::raft_append_reply, m.from());
   reply.set_match(hint);
+  reply.set_round(m.round());
   waiting_.push_back(std::move(reply));
 }
 
@@ -126,6 +128,7 @@
   if (found == progress_.end()) return;
   progress& it = found->second;
   it.silent_ticks = 0;
+  it.round = std::max(it.round, std::min(m.round(), round_));
   if (!m.granted()) {
     it.next = std::max(it.match, std::min(it.next - 1, m.match())) + 1;
     return send_append(m.from(), it, true);
@@ -150,6 +153,7 @@
   m.set_log_index(previous);
   m.set_log_term(log_.term_at(previous));
   m.set_commit(commit_);
+  m.set_round(round_);
   if (more) {
     for (auto& entry : log_.slice(it.next, settings_.batch_bytes)) {
       *m.add_entries() = std::move(entry);
@@ -208,7 +212,22 @@
 void raft::review_membership() {
   if (!membership_settled()) return;
   if (admit_stranger()) return;
-  promote_learner();
+  if (promote_learner()) return;
+  remove_surplus();
+}
+
+bool raft::remove_surplus() {
+  const auto n = static_cast<unsigned>(members().voters_size());
+  if (settings_.wanted_voters == 0 || n <= settings_.wanted_voters) {
+    return false;
+  }
+  for (const proto::replica& voter : members().voters()) {
+    const auto it = progress_.find(voter.box());
+    if (it == progress_.end()) continue;
+    if (it->second.silent_ticks < settings_.silent_ticks) continue;
+    return propose_membership(without_box(members(), voter.box())).ok();
+  }
+  return false;
 }
 
 bool raft::admit_stranger() {
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -41,6 +41,7 @@
   commit_ = std::clamp(state.hard.commit(), commit_, persisted_);
   handed_commit_ = saved_commit_ = commit_;
   unstable_from_ = persisted_ + 1;
+  if (term_ > 0) no_vote_ticks_ = settings_.election_ticks;
   reset_timeout();
 }
 
@@ -71,7 +72,15 @@
   return m;
 }
 
+void raft::know_replica_box(const box_id& box) {
+  auto& boxes = settings_.replica_boxes;
+  if (std::find(boxes.begin(), boxes.end(), box) == boxes.end()) {
+    boxes.push_back(box);
+  }
+}
+
 void raft::tick() {
+  if (no_vote_ticks_ > 0) --no_vote_ticks_;
   if (role_ == raft_role::leader) return leader_tick();
   ++quiet_ticks_;
   if (quiet_ticks_ < timeout_ticks_) return;
@@ -106,9 +115,23 @@
   review_membership();
   if (++heartbeat_wait_ < settings_.heartbeat_ticks) return;
   heartbeat_wait_ = 0;
+  ++round_;
   broadcast(true);
 }
 
+uint64_t raft::quorum_round() const {
+  if (role_ != raft_role::leader) return 0;
+  return majority_index(members(), [&](const auto& voter) {
+    if (voter.box() == settings_.self.str()) return round_;
+    const auto it = progress_.find(voter.box());
+    return it == progress_.end() ? uint64_t{0} : it->second.round;
+  });
+}
+
+bool raft::leads_with_state() const {
+  return role_ == raft_role::leader && log_.term_at(applied_) == term_;
+}
+
 void raft::become_follower(uint64_t term, const std::string& leader) {
   if (term != term_) {
     term_ = term;
@@ -153,6 +176,7 @@
   leader_ = settings_.self.str();
   quiet_ticks_ = 0;
   heartbeat_wait_ = 0;
+  round_ = 0;
   progress_.clear();
   strangers_.clear();
   refresh_progress();
@@ -160,7 +184,7 @@
 }
 
 bool raft::heard_leader() const {
-  if (role_ == raft_role::leader) return true;
+  if (role_ == raft_role::leader || no_vote_ticks_ > 0) return true;
   return !leader_.empty() && quiet_ticks_ < settings_.election_ticks;
 }
 
@@ -265,7 +289,9 @@
     best = voter.box();
     most = it.match;
   }
-  if (!best.empty()) ready_.push_back(make(proto::raft_timeout_now, best));
+  if (best.empty()) return;
+  ready_.push_back(make(proto::raft_timeout_now, best));
+  become_follower(term_, "");
 }
 
 int raft::losses_survived() const {
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -43,6 +43,11 @@
   /// Boxes that have a data folder; a replica without members tells them that
   /// it exists.
   std::vector<box_id> replica_boxes;
+  /// Voters that the cluster should have; a voter that falls silent while
+  /// there are more leaves for good. 0 never removes one.
+  unsigned wanted_voters = 0;
+  /// Ticks of silence after which a surplus voter leaves.
+  unsigned silent_ticks = 20;
 };
 
 /// What a replica finds on its disk when it starts.
@@ -87,8 +92,12 @@
   /// `Unavailable` unless this replica leads, `FailedPrecondition` while an
   /// earlier change is not committed.
   absl::Status propose_membership(const proto::membership& members);
-  /// Hands leadership to the voter that has most of the log, if it leads.
+  /// Hands leadership to the voter that has most of the log, if it leads, and
+  /// stops leading at once: a hand-over that arrives late may take effect
+  /// whenever it likes.
   void transfer_leadership();
+  /// Boxes that may hold a replica, beside those of the settings.
+  void know_replica_box(const box_id& box);
   /// Takes the actions that have come up. At most one batch is out at a time.
   raft_actions take();
   /// The last batch taken is on the disk.
@@ -112,6 +121,14 @@
   /// Voters beyond a majority that hold every committed entry and were heard
   /// lately: how many may be lost with no change refused. -1 unless leading.
   int losses_survived() const;
+  /// The leader's latest heartbeat round; rises within a term.
+  uint64_t round() const { return round_; }
+  /// The latest round that a majority of the voters has answered; 0 unless
+  /// leading.
+  uint64_t quorum_round() const;
+  /// True when this replica leads and has applied an entry of its own term, so
+  /// that its state holds all that was ever committed.
+  bool leads_with_state() const;
 
  private:
   struct progress {
@@ -120,6 +137,7 @@
     uint64_t next = 1;
     unsigned silent_ticks = 0;
     unsigned install_wait = 0;
+    uint64_t round = 0;
   };
 
   // Elections: raft.cc.
@@ -155,6 +173,7 @@
   bool membership_settled() const;
   bool admit_stranger();
   bool promote_learner();
+  bool remove_surplus();
   std::optional<persist_batch> next_batch();
 
   const proto::membership& members_at(uint64_t index) const;
@@ -177,6 +196,10 @@
   unsigned quiet_ticks_ = 0;
   unsigned timeout_ticks_ = 0;
   unsigned heartbeat_wait_ = 0;
+  // Ticks until this replica may vote after its start: what it promised
+  // before, by answering a leader, it has forgotten.
+  unsigned no_vote_ticks_ = 0;
+  uint64_t round_ = 0;
   std::set<std::string> votes_;
   std::map<std::string, progress> progress_;
   std::map<std::string, std::string> strangers_;
--- a/consensus/replica.cc
+++ b/consensus/replica.cc
@@ -18,6 +18,9 @@
 
 void replica::tick() {
   if (failed_) return;
+  if (refused_) write(std::move(refused_));
+  write_ticks_ = writes_out_ > 0 ? write_ticks_ + 1 : 0;
+  if (write_ticks_ >= slow_write_ticks) raft_.transfer_leadership();
   raft_.tick();
   pump();
 }
@@ -45,30 +48,42 @@
   if (actions.install) host_.install(*actions.install);
   for (const proto::log_entry& it : actions.committed) host_.apply(it);
   for (const proto::raft_message& it : actions.messages) host_.send(it);
-  if (actions.persist) return write(std::move(*actions.persist));
+  if (actions.persist) {
+    return write(std::make_shared<persist_batch>(std::move(*actions.persist)));
+  }
   compact_if_due();
 }
 
-void replica::write(persist_batch batch) {
+void replica::write(std::shared_ptr<persist_batch> batch) {
   ++writes_out_;
-  auto shared = std::make_shared<persist_batch>(std::move(batch));
-  auto work = [store = store_.get(), shared] { return store->write(*shared); };
-  auto done = [this,
+  auto work = [store = store_.get(), batch] { return store->write(*batch); };
+  auto done = [this, batch,
                alive = std::weak_ptr(alive_)](const absl::Status& status) {
-    if (alive.expired()) return;
-    --writes_out_;
-    if (!status.ok()) {
-      failed_ = true;
-      return host_.disk_failed(status);
-    }
-    raft_.persisted();
-    pump();
+    if (!alive.expired()) written(batch, status);
   };
   queue_.run(std::move(work), std::move(done));
 }
 
+void replica::written(const std::shared_ptr<persist_batch>& batch,
+                      const absl::Status& status) {
+  --writes_out_;
+  if (absl::IsResourceExhausted(status)) {
+    refused_ = batch;
+    raft_.transfer_leadership();
+    host_.disk_full(status);
+    return pump();
+  }
+  if (!status.ok()) {
+    failed_ = true;
+    return host_.disk_failed(status);
+  }
+  write_ticks_ = 0;
+  raft_.persisted();
+  pump();
+}
+
 void replica::compact_if_due() {
-  if (writes_out_ > 0) return;
+  if (writes_out_ > 0 || refused_) return;
   const uint64_t covered = raft_.applied_index() - raft_.log().snapshot_index();
   const bool many = covered >= compaction_.entries;
   const bool large = store_->size() >= compacted_size_ + compaction_.bytes;
@@ -89,6 +104,11 @@
     if (alive.expired()) return;
     --writes_out_;
     compacted_size_ = store_->size();
+    // The old file still holds all of it; the next compaction tries again.
+    if (absl::IsResourceExhausted(status)) {
+      host_.disk_full(status);
+      return pump();
+    }
     if (!status.ok()) {
       failed_ = true;
       return host_.disk_failed(status);
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -35,6 +35,8 @@
   virtual void apply(const proto::log_entry& entry) = 0;
   /// The whole state after the last applied entry.
   virtual std::string save_state() = 0;
+  /// The disk takes no more bytes, or does so again; the replica tries on.
+  virtual void disk_full(const absl::Status& /*status*/) {}
   /// The disk failed: the process must end without sending anything more.
   virtual void disk_failed(const absl::Status& status) = 0;
 };
@@ -47,6 +49,9 @@
   size_t bytes = 64 << 20;
 };
 
+/// Ticks that a leader's write may take before it hands the leadership on.
+constexpr unsigned slow_write_ticks = 4;
+
 /// A running replica. Not thread-safe; `blocking_queue` returns to its thread.
 class replica {
  public:
@@ -63,12 +68,17 @@
   /// Hands leadership on, if this replica leads.
   void transfer_leadership();
 
+  /// Boxes that may hold a replica, beside those of the settings.
+  void know_replica_box(const box_id& box) { raft_.know_replica_box(box); }
+
   /// The state machine, for reading.
   const raft& state() const { return raft_; }
 
  private:
   void pump();
-  void write(persist_batch batch);
+  void write(std::shared_ptr<persist_batch> batch);
+  void written(const std::shared_ptr<persist_batch>& batch,
+               const absl::Status& status);
   void compact_if_due();
 
   std::unique_ptr<log_store> store_;
@@ -78,6 +88,10 @@
   compaction_settings compaction_;
   size_t compacted_size_ = 0;
   unsigned writes_out_ = 0;
+  // Ticks since the oldest write under way began.
+  unsigned write_ticks_ = 0;
+  // A batch that found the disk full; written again at the next tick.
+  std::shared_ptr<persist_batch> refused_;
   bool failed_ = false;
   // A callback of the queue that comes after the replica's end does nothing.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/daemon/entry-gateway-service.cc
@@ -0,0 +1,151 @@
+#include "daemon/entry-gateway-service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/text.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* gateway_name = "gateway";
+constexpr milliseconds gateway_tick{250};
+/// How long a request may wait for a leader: below a quarter of the shortest
+/// objective that the users name (1,000 ms).
+constexpr milliseconds patience{200};
+constexpr milliseconds try_again_after{50};
+/// When a caller that found no leader may come back: about an election.
+constexpr milliseconds back_after{1'000};
+/// A box stays ready for so long without a leader: an election that goes well.
+constexpr milliseconds ready_without{1'800};
+
+}  // namespace detail
+
+struct entry_gateway_service::question {
+  question(boost::asio::io_context& io, fleet::fleet_request r)
+      : timer(io), request(std::move(r)) {}
+  boost::asio::steady_timer timer;
+  fleet::fleet_request request;
+  respond_function respond;
+  time_point asked{};
+  time_point deadline{};
+  bool may_have_run = false;
+};
+
+absl::Status entry_gateway_service::start(service_registry& registry) {
+  mesh_ = &registry.find<mesh_service>(seeded_names::mesh)->mesh();
+  peer_mesh::handlers handlers;
+  handlers.on_message = [this](const auto& from, const auto& frame,
+                               const auto& /*stream*/) {
+    on_message(from, frame);
+  };
+  handlers.on_request = [](const auto&, const auto& respond) {
+    respond({});
+  };
+  handlers.on_lost = [this](const box_id& box) { finder_.lost(box); };
+  mesh_->set_handlers(std::move(handlers));
+  learn_seeds();
+  tick();
+  tick_timer_.start(detail::gateway_tick, [this] { tick(); });
+  return absl::OkStatus();
+}
+
+void entry_gateway_service::learn_seeds() {
+  for (const box_id& it : context_.settings.seeds) finder_.know(it);
+}
+
+void entry_gateway_service::on_message(const box_id& from,
+                                       const fleet::fleet_frame& frame) {
+  if (!frame.has_hello()) return;
+  finder_.heard(from, frame.hello(), context_.clock.now());
+  const bool told = frame.hello().config_version() > 0;
+  if (told && on_bounds_) on_bounds_(frame.hello().bounds());
+  tick();
+}
+
+void entry_gateway_service::tick() {
+  const time_point now = context_.clock.now();
+  for (const box_id& it : finder_.to_greet(now)) {
+    fleet::fleet_frame frame;
+    frame.mutable_hello();
+    mesh_->send(it, std::move(frame));
+  }
+  const box_id target = finder_.target(now);
+  if (!target.empty()) {
+    in_reach_at_ = now;
+    was_in_reach_ = true;
+  }
+  if (target == last_target_) return;
+  log_event(detail::gateway_name, log_level::info, "target-changed")
+      .with("from", last_target_.str())
+      .with("to", target.str())
+      .with("decides", finder_.target_decides(now) ? "yes" : "no");
+  last_target_ = target;
+}
+
+bool entry_gateway_service::ready() const {
+  return was_in_reach_ &&
+         context_.clock.now() - in_reach_at_ < detail::ready_without;
+}
+
+void entry_gateway_service::ask(const fleet::fleet_request& request,
+                                milliseconds limit, respond_function respond) {
+  auto it = std::make_shared<question>(context_.io, request);
+  it->respond = std::move(respond);
+  it->asked = context_.clock.now();
+  it->deadline = it->asked + limit;
+  try_now(it);
+}
+
+void entry_gateway_service::try_now(const std::shared_ptr<question>& it) {
+  const time_point now = context_.clock.now();
+  const box_id target = finder_.target(now);
+  if (target.empty()) {
+    fleet::fleet_response none;
+    none.set_status(fleet::fleet_unavailable);
+    none.set_reason("no-leader-in-reach");
+    return try_later(it, std::move(none));
+  }
+  const milliseconds left = std::max(it->deadline - now, milliseconds(1));
+  mesh_->call(target, it->request, false, left,
+              [this, it, target](fleet::fleet_response response) {
+                const fleet::fleet_status status = response.status();
+                if (status != fleet::fleet_unknown) {
+                  finder_.answered(target, context_.clock.now());
+                }
+                if (status == fleet::fleet_unknown) it->may_have_run = true;
+                if (status != fleet::fleet_unknown &&
+                    status != fleet::fleet_unavailable) {
+                  return it->respond(std::move(response));
+                }
+                try_later(it, std::move(response));
+              });
+}
+
+/// A request keeps its identity over all tries, so that asking again is safe;
+/// once one try may have been taken, the whole may have.
+void entry_gateway_service::try_later(const std::shared_ptr<question>& it,
+                                      fleet::fleet_response last) {
+  const time_point now = context_.clock.now();
+  const bool again = now + detail::try_again_after < it->deadline &&
+                     now - it->asked < detail::patience;
+  if (again) {
+    it->timer.expires_after(detail::try_again_after);
+    return it->timer.async_wait([this, it](boost::system::error_code ec) {
+      if (!ec) try_now(it);
+    });
+  }
+  if (it->may_have_run) last.set_status(fleet::fleet_unknown);
+  if (last.status() == fleet::fleet_unavailable) {
+    last.set_retry_after_ms(static_cast<uint64_t>(detail::back_after.count()));
+  }
+  log_event(detail::gateway_name, log_level::warn, "request-given-up")
+      .with("job", it->request.has_job() ? it->request.job().path() : "")
+      .with("cause", last.reason())
+      .with("waited-ms", (now - it->asked).count())
+      .with("may-have-run", it->may_have_run ? "yes" : "no");
+  it->respond(std::move(last));
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/daemon/entry-gateway-service.h
@@ -0,0 +1,59 @@
+// The service `gateway` of an entry box: brings callers' requests to the
+// leader.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "daemon/leader-finder.h"
+#include "daemon/mesh-service.h"
+#include "daemon/repeating-timer.h"
+#include "daemon/seeded-context.h"
+#include "fleet/gateway.h"
+
+namespace kestrelreel {
+
+/// Finds the leader and asks it.
+class entry_gateway_service final : public service, public fleet_gateway {
+ public:
+  explicit entry_gateway_service(seeded_context& context)
+      : context_(context), tick_timer_(context.io) {}
+
+  std::string_view name() const override { return seeded_names::gateway; }
+  std::vector<std::string> dependencies() const override {
+    return {seeded_names::mesh};
+  }
+  absl::Status start(service_registry& registry) override;
+  void stop() override { tick_timer_.stop(); }
+
+  void ask(const fleet::fleet_request& request, milliseconds limit,
+           respond_function respond) override;
+  /// The seeds changed.
+  void learn_seeds();
+  /// True while a leader is in reach, and for a short while after.
+  bool ready() const;
+  /// Calls `it` with the bounds of requests whenever a box tells them.
+  void on_bounds(std::function<void(const fleet::request_bounds&)> it) {
+    on_bounds_ = std::move(it);
+  }
+
+ private:
+  struct question;
+  void try_now(const std::shared_ptr<question>& it);
+  void try_later(const std::shared_ptr<question>& it,
+                 fleet::fleet_response last);
+  void on_message(const box_id& from, const fleet::fleet_frame& frame);
+  void tick();
+
+  seeded_context& context_;
+  peer_mesh* mesh_ = nullptr;
+  leader_finder finder_;
+  time_point in_reach_at_{};
+  bool was_in_reach_ = false;
+  box_id last_target_;
+  std::function<void(const fleet::request_bounds&)> on_bounds_;
+  repeating_timer tick_timer_;
+};
+
+}  // namespace kestrelreel
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -8,8 +8,10 @@
 #include <sstream>
 #include <string>
 
+#include "config/seeded-settings.h"
 #include "config/settings.h"
 #include "daemon/process.h"
+#include "daemon/seeded-process.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -60,6 +62,36 @@
   return exit_start;
 }
 
+/// A box of a seeded deployment: one that is told no list of the others.
+int run_seeded(const std::string& file, const std::string& text,
+               std::map<std::string, docopt::value>& options) {
+  auto settings = parse_seeded_settings(file, text);
+  if (const auto* faults = std::get_if<std::vector<config_fault>>(&settings)) {
+    for (const config_fault& it : *faults) std::cerr << it.str() << "\n";
+    return exit_settings;
+  }
+  auto& sound = std::get<seeded_settings>(settings);
+  if (options["--check"].asBool()) {
+    std::cout << file << ": sound; box " << sound.box.str() << " of "
+              << sound.data_centre.str() << "\n";
+    return 0;
+  }
+  if (options["--log-level"]) {
+    sound.log_level = options["--log-level"].asString();
+  }
+  const absl::Status log = configure_log(sound.log_level);
+  if (!log.ok()) {
+    std::cerr << "kestrelreeld: " << log.message() << "\n";
+    return exit_usage;
+  }
+  seeded_process it(file, std::move(sound));
+  const absl::Status status = it.run();
+  if (status.ok()) return 0;
+  log_event("process", log_level::error, "not-started")
+      .with("error", status.message());
+  return exit_start;
+}
+
 int run(std::map<std::string, docopt::value>& options) {
   const std::string file = options["--settings"].asString();
   std::string text;
@@ -67,6 +99,7 @@
     std::cerr << "kestrelreeld: cannot read settings '" << file << "'\n";
     return exit_settings;
   }
+  if (is_seeded(text)) return run_seeded(file, text, options);
   auto settings = parse_settings(file, text);
   if (const auto* faults = std::get_if<std::vector<config_fault>>(&settings)) {
     for (const config_fault& it : *faults) std::cerr << it.str() << "\n";
--- a/daemon/process.cc
+++ b/daemon/process.cc
@@ -19,19 +19,13 @@
 constexpr milliseconds longest_drain{60'000};
 constexpr int forced_exit = 130;
 
-uint64_t wall_clock_ms() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<milliseconds>(now).count());
-}
-
 }  // namespace detail
 
 process::process(process_settings settings, bool new_cluster)
     : signals_(context_.io), stop_timer_(context_.io) {
   context_.settings = std::move(settings);
   context_.new_cluster = new_cluster;
-  context_.incarnation = detail::wall_clock_ms();
+  context_.incarnation = wall_clock_ms();
 }
 
 absl::Status process::add_services() {
--- /dev/null
+++ b/daemon/seeded-process.cc
@@ -0,0 +1,164 @@
+#include "daemon/seeded-process.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include "base/text.h"
+#include "daemon/entry-gateway-service.h"
+#include "daemon/fleet-record-service.h"
+#include "daemon/front-service.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* process_name = "process";
+/// The settings file may change without a signal.
+constexpr milliseconds reload_interval{1'000};
+/// The balancer asks every second and takes two misses as an answer.
+constexpr milliseconds balancer_notices{3'000};
+/// A control box's callers turn to another by themselves.
+constexpr milliseconds control_stop{600};
+constexpr milliseconds idle_poll{50};
+/// What is left of the stop's time for the process to end.
+constexpr milliseconds stop_margin{700};
+
+bool read_settings_file(const std::string& path, std::string& text) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return false;
+  text.assign(std::istreambuf_iterator<char>(in), {});
+  return true;
+}
+
+}  // namespace detail
+
+seeded_process::seeded_process(std::string file, seeded_settings settings)
+    : file_(std::move(file)),
+      signals_(context_.io),
+      stop_timer_(context_.io),
+      reload_timer_(context_.io) {
+  context_.settings = std::move(settings);
+}
+
+absl::Status seeded_process::add_services() {
+  std::vector<std::unique_ptr<service>> services;
+  services.push_back(std::make_unique<mesh_service>(context_));
+  if (context_.settings.role == seeded_role::control) {
+    services.push_back(std::make_unique<fleet_record_service>(context_));
+  } else {
+    services.push_back(std::make_unique<entry_gateway_service>(context_));
+  }
+  services.push_back(std::make_unique<front_service>(context_));
+  for (auto& it : services) {
+    absl::Status status = registry_.add(std::move(it));
+    if (!status.ok()) return status;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status seeded_process::run() {
+  absl::Status status = add_services();
+  if (status.ok()) status = registry_.start();
+  if (!status.ok()) return status;
+  watch_signals();
+  reload_timer_.start(detail::reload_interval, [this] { reload(); });
+  log_event(detail::process_name, log_level::info, "started")
+      .with("box", context_.settings.box.str())
+      .with("name", context_.settings.name)
+      .with("data-centre", context_.settings.data_centre.str());
+  context_.io.run();
+  registry_.stop();
+  log_event(detail::process_name, log_level::info, "stopped")
+      .with("box", context_.settings.box.str());
+  return absl::OkStatus();
+}
+
+void seeded_process::watch_signals() {
+  boost::system::error_code ec;
+  for (const int it : {SIGTERM, SIGINT, SIGHUP}) {
+    signals_.add(it, ec);
+    if (ec) {
+      log_event(detail::process_name, log_level::error, "signal-not-watched")
+          .with("signal", it)
+          .with("error", ec.message());
+    }
+  }
+  signals_.async_wait([this](boost::system::error_code error, int number) {
+    if (!error) on_signal(number);
+  });
+}
+
+void seeded_process::on_signal(int number) {
+  if (number == SIGHUP) {
+    reload();
+  } else if (!context_.stopping) {
+    begin_stop();
+  }
+  signals_.async_wait([this](boost::system::error_code error, int next) {
+    if (!error) on_signal(next);
+  });
+}
+
+/// Only the seeds and the log level can change while the process runs.
+void seeded_process::reload() {
+  std::string text;
+  if (!detail::read_settings_file(file_, text)) {
+    log_event(detail::process_name, log_level::warn, "settings-unreadable")
+        .with("file", file_);
+    return;
+  }
+  if (text == text_) return;
+  text_ = text;
+  auto parsed = parse_seeded_settings(file_, text);
+  if (const auto* faults = std::get_if<std::vector<config_fault>>(&parsed)) {
+    log_event(detail::process_name, log_level::error, "settings-faulty")
+        .with("fault", faults->front().str())
+        .with("effect", "the earlier ones stay in force");
+    return;
+  }
+  auto& fresh = std::get<seeded_settings>(parsed);
+  context_.settings.seeds = std::move(fresh.seeds);
+  log_event(detail::process_name, log_level::info, "settings-read")
+      .with("seeds", context_.settings.seeds.size());
+  if (auto* it = registry_.find<entry_gateway_service>(seeded_names::gateway)) {
+    it->learn_seeds();
+  }
+  if (auto* it = registry_.find<fleet_record_service>(seeded_names::record)) {
+    it->learn_seeds();
+  }
+}
+
+void seeded_process::begin_stop() {
+  context_.stopping = true;
+  stop_began_ = context_.clock.now();
+  log_event(detail::process_name, log_level::info, "stop-begins")
+      .with("time-ms", context_.settings.stop_time.count());
+  if (auto* it = registry_.find<fleet_record_service>(seeded_names::record)) {
+    it->transfer_leadership();
+  }
+  registry_.find<front_service>(seeded_names::front)->drain();
+  end_when_idle();
+}
+
+/// An entry box serves on until the balancer has noticed and all answers are
+/// out.
+void seeded_process::end_when_idle() {
+  const bool control = context_.settings.role == seeded_role::control;
+  const milliseconds least =
+      control ? detail::control_stop : detail::balancer_notices;
+  const milliseconds passed = context_.clock.now() - stop_began_;
+  const auto* front = registry_.find<front_service>(seeded_names::front);
+  const bool idle = passed >= least && front->under_way() == 0;
+  const bool over =
+      passed >= context_.settings.stop_time - detail::stop_margin;
+  if (idle || over) return context_.io.stop();
+  stop_timer_.expires_after(detail::idle_poll);
+  stop_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) end_when_idle();
+  });
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/controller-workers.cc
@@ -0,0 +1,363 @@
+// The leader and the workers: heartbeats in, orders out.
+#include <algorithm>
+#include <utility>
+
+#include "base/text.h"
+#include "fleet/controller.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "controller";
+/// A worker calls at least this often; one that was silent for longer, while
+/// another life of its machine was heard, is over.
+constexpr milliseconds dead_after{2'000};
+/// Silent workers without runs are forgotten after this.
+constexpr milliseconds forget_worker_after{60'000};
+/// Jobs that are over are looked through this often.
+constexpr milliseconds forget_interval{1'000};
+/// A run ordered so long ago, and not there, never will be: covers the time
+/// after which a worker drops an answer, and the way of its next heartbeat.
+constexpr milliseconds order_margin{500};
+/// How long a worker that fails what it starts is avoided at first.
+constexpr milliseconds first_avoidance{2'000};
+constexpr unsigned most_doublings = 3;
+
+bool same_place(const fleet::worker_beat& a, const fleet::worker_beat& b) {
+  if (!a.machine().empty() && a.machine() == b.machine()) return true;
+  return !a.address().empty() && a.address() == b.address();
+}
+
+}  // namespace detail
+
+void fleet_controller::on_beat(const fleet::worker_beat& beat,
+                               const respond_function& respond) {
+  ++metrics_.counter("kestrelreel_heartbeats_total");
+  worker_view* it = workers_.heard(beat);
+  if (it == nullptr) {
+    ++metrics_.counter("kestrelreel_heartbeats_late_total");
+    fleet::fleet_response response = make_response(fleet::fleet_ok, "late");
+    return respond(std::move(response));
+  }
+  if (it->respond) {
+    std::exchange(it->respond, nullptr)(
+        make_response(fleet::fleet_ok, "overtaken"));
+  }
+  it->respond = respond;
+  it->asked = clock_.now();
+  take_ends(*it);
+  scheduler_.pace(*it);
+  unsettled_ = true;
+}
+
+void fleet_controller::take_ends(worker_view& it) {
+  const uint64_t known = std::max(book_.last_end(it.id), it.end_proposed);
+  fleet::fleet_command command;
+  fleet::worker_report& report = *command.mutable_report();
+  report.set_worker(it.id.str());
+  for (const fleet::run_end& end : it.beat.ended()) {
+    if (end.number() <= known) continue;
+    *report.add_ends() = end;
+    it.end_proposed = std::max(it.end_proposed, end.number());
+    note_end(it, end);
+  }
+  if (report.ends_size() == 0) return;
+  const absl::Status status = log_.propose(command);
+  if (status.ok()) return;
+  it.end_proposed = book_.last_end(it.id);
+  log_event(detail::service_name, log_level::warn, "ends-not-recorded")
+      .with("worker", it.id.str())
+      .with("error", status.message());
+}
+
+void fleet_controller::note_end(worker_view& it, const fleet::run_end& end) {
+  ++metrics_.counter("kestrelreel_run_ends_total",
+                     {{"outcome", fleet::run_outcome_Name(end.outcome())}});
+  if (end.outcome() == fleet::run_done) {
+    it.failures = it.failed_jobs = it.avoided_times = 0;
+    return;
+  }
+  log_event(detail::service_name, log_level::info, "run-ended")
+      .with("task", to_text(to_key(end.task())))
+      .with("run", end.run())
+      .with("worker", it.id.str())
+      .with("outcome", fleet::run_outcome_Name(end.outcome()));
+  if (end.outcome() != fleet::run_failed) return;
+  const job_number job(end.task().job());
+  if (it.failures == 0 || job != it.failed_job) ++it.failed_jobs;
+  it.failed_job = job;
+  ++it.failures;
+  const bool bad = it.failures >= settings_.scheduling.avoid_after &&
+                   it.failed_jobs >= 2;
+  if (!bad) return;
+  const unsigned doublings = std::min(it.avoided_times, detail::most_doublings);
+  it.avoided_until = clock_.now() + detail::first_avoidance * (1U << doublings);
+  ++it.avoided_times;
+  it.failures = it.failed_jobs = 0;
+  log_event(detail::service_name, log_level::warn, "worker-avoided")
+      .with("worker", it.id.str())
+      .with("cause", "fails what it starts")
+      .with("for-ms", (it.avoided_until - clock_.now()).count());
+}
+
+void fleet_controller::on_leave(const worker_id& worker,
+                                const respond_function& respond) {
+  fleet::fleet_command command;
+  command.mutable_loss()->set_worker(worker.str());
+  command.mutable_loss()->set_gone(true);
+  if (const worker_view* it = workers_.find(worker)) {
+    for (const run_key& run : book_.runs_on(worker)) {
+      const auto row = it->rows.find(run);
+      fleet::run_loss& loss = *command.mutable_loss()->add_runs();
+      *loss.mutable_task() = to_ref(run.task);
+      loss.set_run(static_cast<uint32_t>(run.run.value()));
+      if (row != it->rows.end()) loss.set_saved(row->second.saved());
+    }
+  }
+  log_event(detail::service_name, log_level::info, "worker-leaves")
+      .with("worker", worker.str())
+      .with("runs", command.loss().runs_size());
+  commit(std::move(command), respond);
+}
+
+bool fleet_controller::lists_end(const worker_view& it,
+                                 const run_key& run) const {
+  const auto& ended = it.beat.ended();
+  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
+    return to_key(end.task()) == run.task &&
+           run_number(end.run()) == run.run;
+  });
+}
+
+/// True when the run should no longer be alive.
+bool fleet_controller::should_stop(const run_key& run) const {
+  const task_entry* task = book_.find(run.task);
+  return task == nullptr || task->phase != task_phase::running ||
+         task->run != run.run;
+}
+
+bool fleet_controller::answer_is_due(const worker_view& it) const {
+  if (clock_.now() - it.asked >= settings_.answer_wait) return true;
+  return it.proposed.empty() && it.end_proposed <= book_.last_end(it.id);
+}
+
+void fleet_controller::answer(worker_view& it) {
+  fleet::fleet_response response;
+  response.set_status(fleet::fleet_ok);
+  *response.mutable_orders() = orders_for(it);
+  workers_.granted(it);
+  std::exchange(it.respond, nullptr)(std::move(response));
+}
+
+fleet::worker_orders fleet_controller::orders_for(worker_view& it) {
+  fleet::worker_orders orders;
+  const auto hold = workers_.leases().hold.count();
+  orders.set_hold_ms(static_cast<uint64_t>(hold));
+  orders.set_last_end(book_.last_end(it.id));
+  orders.set_fence(log_.term().value());
+  orders.set_beat_at(settings_.beat_address);
+  const bool busy = !it.rows.empty() || !book_.live().empty();
+  const milliseconds next = busy ? settings_.busy_beat : settings_.idle_beat;
+  orders.set_next_beat_ms(static_cast<uint64_t>(next.count()));
+  add_starts(it, orders);
+  add_stops(it, orders);
+  add_paces(it, orders);
+  return orders;
+}
+
+/// A start goes out again with each answer until the worker lists the run.
+void fleet_controller::add_starts(worker_view& it,
+                                  fleet::worker_orders& orders) {
+  if (it.beat.draining()) return;
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
+      continue;
+    }
+    const task_entry& task = *book_.find(run.task);
+    fleet::start_order& start = *orders.add_starts();
+    *start.mutable_task() = to_ref(run.task);
+    start.set_run(static_cast<uint32_t>(run.run.value()));
+    start.set_text(book_.find(run.task.job)->spec.text());
+    start.set_saved(task.saved);
+    const bool again = !it.sent.emplace(run, clock_.now()).second;
+    it.sent[run] = clock_.now();
+    log_event(detail::service_name, log_level::info, "start-sent")
+        .with("task", to_text(run.task))
+        .with("run", run.run.value())
+        .with("worker", it.id.str())
+        .with("again", again ? "yes" : "no");
+  }
+}
+
+void fleet_controller::add_stops(worker_view& it,
+                                 fleet::worker_orders& orders) {
+  const auto add = [&](const run_key& run) {
+    fleet::stop_order& stop = *orders.add_stops();
+    *stop.mutable_task() = to_ref(run.task);
+    stop.set_run(static_cast<uint32_t>(run.run.value()));
+  };
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (should_stop(run) && !lists_end(it, run)) add(run);
+  }
+  // What runs there without being recorded was given up on.
+  for (const auto& [run, row] : it.rows) {
+    if (!book_.runs_on(it.id).contains(run)) add(run);
+  }
+}
+
+void fleet_controller::add_paces(worker_view& it,
+                                 fleet::worker_orders& orders) {
+  for (const auto& [run, row] : it.rows) {
+    const fleet::step_spec* step = book_.find_step(run.task);
+    if (step == nullptr || !step->fills()) continue;
+    const auto told = it.paces.find(run);
+    if (told == it.paces.end() && it.pace == full_pace) continue;
+    if (told != it.paces.end() && told->second == it.pace) continue;
+    it.paces[run] = it.pace;
+    fleet::pace_order& pace = *orders.add_paces();
+    *pace.mutable_task() = to_ref(run.task);
+    pace.set_run(static_cast<uint32_t>(run.run.value()));
+    pace.set_percent(it.pace);
+  }
+  std::erase_if(it.paces,
+                [&](const auto& p) { return !it.rows.contains(p.first); });
+  std::erase_if(it.sent, [&](const auto& p) {
+    return !book_.runs_on(it.id).contains(p.first);
+  });
+}
+
+void fleet_controller::propose_loss(worker_view& it,
+                                    const std::vector<run_key>& runs,
+                                    bool gone) {
+  fleet::fleet_command command;
+  fleet::worker_loss& loss = *command.mutable_loss();
+  loss.set_worker(it.id.str());
+  loss.set_gone(gone);
+  for (const run_key& run : runs) {
+    fleet::run_loss& lost = *loss.add_runs();
+    *lost.mutable_task() = to_ref(run.task);
+    lost.set_run(static_cast<uint32_t>(run.run.value()));
+    const auto row = it.rows.find(run);
+    if (row != it.rows.end()) lost.set_saved(row->second.saved());
+  }
+  const absl::Status status = log_.propose(command);
+  if (!status.ok()) return;
+  losing_[it.id].insert(runs.begin(), runs.end());
+  log_event(detail::service_name, log_level::info, "runs-over")
+      .with("worker", it.id.str())
+      .with("runs", runs.size())
+      .with("cause", gone ? "its life is over" : "lease over or never begun")
+      .with("silent-ms", (clock_.now() - it.heard).count());
+}
+
+/// Gives up on what runs at workers whose lease is over, or whose machine has
+/// begun another life.
+void fleet_controller::review_silence() {
+  const time_point now = clock_.now();
+  for (auto& [id, it] : workers_.views()) {
+    if (losing_.contains(id)) continue;
+    const auto& alive = book_.runs_on(id);
+    const std::vector<run_key> runs(alive.begin(), alive.end());
+    const bool silent = now - it.heard >= detail::dead_after;
+    const bool replaced =
+        it.known && silent &&
+        std::any_of(workers_.views().begin(), workers_.views().end(),
+                    [&](const auto& other) {
+                      const worker_view& o = other.second;
+                      return o.id != it.id && o.known && o.heard > it.heard &&
+                             detail::same_place(o.beat, it.beat);
+                    });
+    const bool forgotten =
+        now >= it.over_at + detail::forget_worker_after && silent;
+    if (replaced || forgotten) {
+      propose_loss(it, runs, true);
+    } else if (now >= it.over_at && !runs.empty() && silent) {
+      propose_loss(it, runs, false);
+    }
+  }
+}
+
+/// A run that must not start any more, and that its worker does not list long
+/// after the last order for it, is over.
+void fleet_controller::review_unstarted(worker_view& it) {
+  if (!it.known || losing_.contains(it.id)) return;
+  const milliseconds sure =
+      workers_.leases().answer_limit + detail::order_margin;
+  std::vector<run_key> over;
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (it.rows.contains(run) || lists_end(it, run)) continue;
+    if (!should_stop(run) && !it.beat.draining()) continue;
+    const auto sent = it.sent.find(run);
+    const time_point last =
+        std::max(led_since_, sent == it.sent.end() ? time_point{} : sent->second);
+    if (it.heard - last > sure) over.push_back(run);
+  }
+  if (!over.empty()) propose_loss(it, over, false);
+}
+
+void fleet_controller::applied_starts(const fleet::run_starts& starts) {
+  for (const fleet::run_start& it : starts.starts()) {
+    worker_view* view = workers_.find(worker_id(it.worker()));
+    if (view == nullptr) continue;
+    view->proposed.erase({to_key(it.task()), run_number(it.run())});
+  }
+}
+
+void fleet_controller::plan() {
+  fleet::fleet_command command;
+  *command.mutable_starts() = scheduler_.plan(settings_.wall_clock_ms());
+  if (command.starts().starts_size() == 0) return;
+  const absl::Status status = log_.propose(command);
+  if (status.ok()) return;
+  applied_starts(command.starts());
+  log_event(detail::service_name, log_level::warn, "starts-not-recorded")
+      .with("error", status.message());
+}
+
+/// Jobs that are over are known for a while, and as long as a run of theirs
+/// may be alive.
+void fleet_controller::forget_old_jobs() {
+  const time_point now = clock_.now();
+  if (now - forgotten_at_ < detail::forget_interval) return;
+  forgotten_at_ = now;
+  std::set<job_number> alive;
+  for (const auto& [worker, runs] : book_.runs()) {
+    for (const run_key& it : runs) alive.insert(it.task.job);
+  }
+  fleet::fleet_command command;
+  for (const auto& [number, job] : book_.jobs()) {
+    if (job.live()) continue;
+    const time_point since = over_since_.try_emplace(number, now).first->second;
+    if (now - since < settings_.keep_jobs || alive.contains(number)) continue;
+    command.mutable_forget()->add_jobs(number.value());
+    scheduler_.forget(number);
+    over_since_.erase(number);
+  }
+  if (!command.has_forget()) return;
+  const absl::Status status = log_.propose(command);
+  if (!status.ok()) {
+    log_event(detail::service_name, log_level::warn, "old-jobs-kept")
+        .with("error", status.message());
+  }
+}
+
+void fleet_controller::settle() {
+  unsettled_ = false;
+  if (!leads_ || !log_.may_decide()) return;
+  plan();
+  for (auto& [id, it] : workers_.views()) {
+    if (it.respond && answer_is_due(it)) answer(it);
+  }
+}
+
+void fleet_controller::tick() {
+  if (!leads_) return;
+  if (!log_.may_decide()) return;
+  review_silence();
+  for (auto& [id, it] : workers_.views()) review_unstarted(it);
+  forget_old_jobs();
+  settle();
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/controller.cc
@@ -0,0 +1,266 @@
+#include "fleet/controller.h"
+
+#include <utility>
+
+#include "base/text.h"
+#include "fleet/queue-map.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "controller";
+
+}  // namespace detail
+
+fleet::fleet_response make_response(fleet::fleet_status status,
+                                    std::string reason) {
+  fleet::fleet_response response;
+  response.set_status(status);
+  response.set_reason(std::move(reason));
+  return response;
+}
+
+fleet_controller::fleet_controller(controller_settings settings,
+                                   clock_source& clock, fleet_log& log,
+                                   metrics_registry& metrics)
+    : settings_(std::move(settings)),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      workers_(settings_.leases, clock),
+      scheduler_(settings_.scheduling, book_, workers_, clock) {}
+
+void fleet_controller::request(const fleet::fleet_request& request,
+                               respond_function respond) {
+  if (!leads_ || !log_.may_decide()) {
+    return respond(make_response(fleet::fleet_unavailable, "no-leader"));
+  }
+  switch (request.body_case()) {
+    case fleet::fleet_request::kJob:
+      return on_job(request.job(), respond);
+    case fleet::fleet_request::kBeat:
+      return on_beat(request.beat(), respond);
+    case fleet::fleet_request::kWorkerLeaves:
+      return on_leave(worker_id(request.worker_leaves()), respond);
+    case fleet::fleet_request::kPutConfig:
+      return on_put_config(request.put_config(), respond);
+    case fleet::fleet_request::kGetConfig:
+      return on_get_config(respond);
+    case fleet::fleet_request::BODY_NOT_SET:
+      break;
+  }
+  respond(make_response(fleet::fleet_invalid, "unknown-request"));
+}
+
+void fleet_controller::on_job(const fleet::job_call& call,
+                              const respond_function& respond) {
+  if (book_.config().version() == 0) {
+    return respond(make_response(fleet::fleet_unavailable, "no-configuration"));
+  }
+  const fleet::queue_route* queue =
+      match_queue(book_.config(), call.host(), call.path());
+  if (queue == nullptr) {
+    return respond(make_response(fleet::fleet_no_queue, "no-such-queue"));
+  }
+  // The caller's path is the queue's prefix and, but for a count, the job.
+  constexpr size_t job_digits = 16;
+  const size_t rest = call.path().size() - queue->path_prefix().size();
+  if (rest != (call.counts_pending() ? 0 : job_digits)) {
+    return respond(make_response(fleet::fleet_no_queue, "no-such-path"));
+  }
+  switch (call.what_case()) {
+    case fleet::job_call::kSubmit:
+      return on_submit(call, *queue, respond);
+    case fleet::job_call::kState:
+      return on_state(call, *queue, respond);
+    case fleet::job_call::kCancel:
+      return on_cancel(job_number(call.job()), *queue, respond);
+    case fleet::job_call::WHAT_NOT_SET:
+      break;
+  }
+  respond(make_response(fleet::fleet_invalid, "unknown-call"));
+}
+
+void fleet_controller::on_submit(const fleet::job_call& call,
+                                 const fleet::queue_route& queue,
+                                 const respond_function& respond) {
+  if (book_.find(job_number(call.job())) != nullptr) {
+    return respond(make_response(fleet::fleet_ok, "known-already"));
+  }
+  const absl::Status sound = check_job(call.submit());
+  if (!sound.ok()) {
+    log_event(detail::service_name, log_level::warn, "job-invalid")
+        .with("job", to_text(job_number(call.job())))
+        .with("queue", queue.name())
+        .with("error", sound.message());
+    return respond(
+        make_response(fleet::fleet_invalid, std::string(sound.message())));
+  }
+  uint64_t tasks = 0;
+  for (const auto& [order, number] : book_.live()) {
+    for (const auto& steps : book_.find(number)->times) {
+      for (const step_entry& it : steps) tasks += it.tasks.size() - it.done;
+    }
+  }
+  if (tasks > settings_.most_tasks) {
+    log_event(detail::service_name, log_level::warn, "job-refused")
+        .with("job", to_text(job_number(call.job())))
+        .with("tasks-waiting", tasks);
+    auto response = make_response(fleet::fleet_refused, "overload");
+    response.set_retry_after_ms(
+        static_cast<uint64_t>(settings_.retry_after.count()));
+    return respond(std::move(response));
+  }
+  fleet::fleet_command command;
+  *command.mutable_submit() = call.submit();
+  command.mutable_submit()->set_job(call.job());
+  command.mutable_submit()->set_queue(queue.name());
+  log_event(detail::service_name, log_level::info, "job-comes")
+      .with("job", to_text(job_number(call.job())))
+      .with("queue", queue.name())
+      .with("steps", call.submit().steps_size());
+  commit(std::move(command), respond);
+}
+
+uint64_t fleet_controller::pending_of(const fleet::queue_route& queue) const {
+  uint64_t n = 0;
+  for (const auto& [order, number] : book_.live()) {
+    const job_entry& job = *book_.find(number);
+    if (!job.begun && job.queue.name() == queue.name()) ++n;
+  }
+  return n;
+}
+
+void fleet_controller::on_state(const fleet::job_call& call,
+                                const fleet::queue_route& queue,
+                                const respond_function& respond) {
+  fleet::fleet_response response;
+  response.set_status(fleet::fleet_ok);
+  if (call.counts_pending()) {
+    response.set_counts_pending(true);
+    response.set_pending(pending_of(queue));
+    return respond(std::move(response));
+  }
+  const job_entry* job = book_.find(job_number(call.job()));
+  if (job == nullptr || job->queue.name() != queue.name()) {
+    return respond(make_response(fleet::fleet_no_job, "no-such-job"));
+  }
+  response.set_phase(job->phase);
+  respond(std::move(response));
+}
+
+void fleet_controller::on_cancel(job_number number,
+                                 const fleet::queue_route& queue,
+                                 const respond_function& respond) {
+  const job_entry* job = book_.find(number);
+  if (job == nullptr || job->queue.name() != queue.name()) {
+    return respond(make_response(fleet::fleet_no_job, "no-such-job"));
+  }
+  if (!job->live()) return respond(make_response(fleet::fleet_ok));
+  fleet::fleet_command command;
+  command.mutable_cancel()->add_jobs(number.value());
+  log_event(detail::service_name, log_level::info, "job-cancel")
+      .with("job", to_text(number));
+  commit(std::move(command), respond);
+}
+
+void fleet_controller::on_put_config(const fleet::fleet_config& config,
+                                     const respond_function& respond) {
+  const absl::Status sound = check_config(config);
+  log_event(detail::service_name, log_level::info, "config-comes")
+      .with("version", config.version())
+      .with("held", book_.config().version())
+      .with("queues", config.queues_size())
+      .with("fault", sound.message());
+  if (!sound.ok()) {
+    return respond(
+        make_response(fleet::fleet_invalid, std::string(sound.message())));
+  }
+  if (config.version() <= book_.config().version()) {
+    return respond(make_response(fleet::fleet_ok, "held-already"));
+  }
+  fleet::fleet_command command;
+  *command.mutable_config() = config;
+  commit(std::move(command), respond);
+}
+
+void fleet_controller::on_get_config(const respond_function& respond) {
+  if (book_.config().version() == 0) {
+    return respond(make_response(fleet::fleet_unavailable, "no-configuration"));
+  }
+  fleet::fleet_response response;
+  response.set_status(fleet::fleet_ok);
+  response.set_config(book_.config().source());
+  respond(std::move(response));
+}
+
+void fleet_controller::commit(fleet::fleet_command command,
+                              respond_function respond) {
+  command.set_token(next_token_++);
+  const uint64_t token = command.token();
+  waiting_[token] = std::move(respond);
+  const absl::Status status = log_.propose(command);
+  if (status.ok()) return;
+  const auto it = waiting_.find(token);
+  if (it == waiting_.end()) return;
+  const respond_function late = std::move(it->second);
+  waiting_.erase(it);
+  late(make_response(fleet::fleet_unavailable, std::string(status.message())));
+}
+
+void fleet_controller::applied(const fleet::fleet_command& command) {
+  const job_book::result result = book_.apply(command);
+  unsettled_ = true;
+  if (command.has_starts()) applied_starts(command.starts());
+  if (command.has_loss()) {
+    losing_.erase(worker_id(command.loss().worker()));
+    if (command.loss().gone()) {
+      workers_.erase(worker_id(command.loss().worker()));
+    }
+  }
+  if (!leads_) return;
+  const auto it = waiting_.find(command.token());
+  if (it == waiting_.end()) return;
+  const respond_function respond = std::move(it->second);
+  waiting_.erase(it);
+  respond(make_response(result.status, result.reason));
+}
+
+void fleet_controller::installed(const std::string& bytes) {
+  book_.load(bytes);
+  unsettled_ = true;
+}
+
+void fleet_controller::leads(bool now) {
+  if (now == leads_) return;
+  leads_ = now;
+  // What was asked of the log may be committed by the next leader or not.
+  std::map<uint64_t, respond_function> waiting;
+  waiting.swap(waiting_);
+  for (auto& [token, respond] : waiting) {
+    respond(make_response(fleet::fleet_unknown, "leadership-lost"));
+  }
+  for (auto& [id, it] : workers_.views()) {
+    if (it.respond) {
+      std::exchange(it.respond, nullptr)(
+          make_response(fleet::fleet_unavailable, "leadership-lost"));
+    }
+  }
+  workers_.clear();
+  losing_.clear();
+  if (!leads_) return;
+  // Tokens of an earlier leadership of this box must never match.
+  next_token_ = log_.term().value() << 32U;
+  for (const auto& [id, runs] : book_.runs()) workers_.expect(id);
+  for (const auto& [id, end] : book_.workers()) workers_.expect(id);
+  led_since_ = clock_.now();
+  unsettled_ = true;
+  log_event(detail::service_name, log_level::info, "leads")
+      .with("term", log_.term().value())
+      .with("jobs-live", book_.live().size())
+      .with("workers-with-runs", book_.runs().size())
+      .with("config", book_.config().version());
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/controller.h
@@ -0,0 +1,143 @@
+// The decisions of a seeded deployment's leader: takes what callers, workers
+// and operators ask, puts what must last into the log, and answers once it
+// lasts.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "base/clock.h"
+#include "fleet/job-book.h"
+#include "fleet/scheduler.h"
+#include "fleet/worker-table.h"
+#include "kernel/metrics.h"
+
+namespace kestrelreel {
+
+/// What the controller needs of the replicated log.
+class fleet_log {
+ public:
+  virtual ~fleet_log() = default;
+  /// True while this replica leads, nobody else can, and its book holds all
+  /// that was committed.
+  virtual bool may_decide() = 0;
+  /// The term of the leadership; it fences the orders to the workers.
+  virtual term_number term() const = 0;
+  /// Adds a command; it is applied through `applied` once it lasts.
+  virtual absl::Status propose(const fleet::fleet_command& command) = 0;
+};
+
+/// Fixed figures of a controller.
+struct controller_settings {
+  lease_settings leases;
+  scheduler_settings scheduling;
+  /// Where workers reach this box; they are told to call here.
+  std::string beat_address;
+  /// How soon a worker calls again: while work waits or runs, and when idle.
+  milliseconds busy_beat{200};
+  milliseconds idle_beat{300};
+  /// The longest that an answer to a worker waits for the log.
+  milliseconds answer_wait{500};
+  /// A job that is over is known for so long.
+  milliseconds keep_jobs{125'000};
+  /// Tasks of live jobs that the memory of a small box has room for.
+  uint64_t most_tasks = 60'000;
+  /// When a refused caller may come back.
+  milliseconds retry_after{1'000};
+  /// The time of day in ms since 1970; only due times are read from it.
+  std::function<uint64_t()> wall_clock_ms;
+};
+
+/// The leader's decisions. Not thread-safe.
+class fleet_controller {
+ public:
+  using respond_function = std::function<void(fleet::fleet_response)>;
+
+  fleet_controller(controller_settings settings, clock_source& clock,
+                   fleet_log& log, metrics_registry& metrics);
+
+  /// Answers once, at once or when the log has it.
+  void request(const fleet::fleet_request& request, respond_function respond);
+  /// A committed command, in order; on every replica.
+  void applied(const fleet::fleet_command& command);
+  /// The state of a snapshot replaces all; on every replica.
+  void installed(const std::string& bytes);
+  /// Leadership came or went.
+  void leads(bool now);
+  /// Decides what the events since the last call allow.
+  void settle();
+  /// Every few tens of milliseconds.
+  void tick();
+  bool leading() const { return leads_; }
+  /// True when `settle` has something to do.
+  bool unsettled() const { return unsettled_; }
+
+  const job_book& book() const { return book_; }
+  const worker_table& workers() const { return workers_; }
+
+ private:
+  // Callers and operators: controller.cc.
+  void on_job(const fleet::job_call& call, const respond_function& respond);
+  void on_submit(const fleet::job_call& call, const fleet::queue_route& queue,
+                 const respond_function& respond);
+  void on_state(const fleet::job_call& call, const fleet::queue_route& queue,
+                const respond_function& respond);
+  void on_cancel(job_number job, const fleet::queue_route& queue,
+                 const respond_function& respond);
+  void on_put_config(const fleet::fleet_config& config,
+                     const respond_function& respond);
+  void on_get_config(const respond_function& respond);
+  void commit(fleet::fleet_command command, respond_function respond);
+  uint64_t pending_of(const fleet::queue_route& queue) const;
+
+  // Workers: controller-workers.cc.
+  void on_beat(const fleet::worker_beat& beat,
+               const respond_function& respond);
+  void on_leave(const worker_id& worker, const respond_function& respond);
+  void take_ends(worker_view& it);
+  void note_end(worker_view& it, const fleet::run_end& end);
+  bool answer_is_due(const worker_view& it) const;
+  void answer(worker_view& it);
+  fleet::worker_orders orders_for(worker_view& it);
+  void add_starts(worker_view& it, fleet::worker_orders& orders);
+  void add_stops(worker_view& it, fleet::worker_orders& orders);
+  void add_paces(worker_view& it, fleet::worker_orders& orders);
+  bool should_stop(const run_key& run) const;
+  bool lists_end(const worker_view& it, const run_key& run) const;
+  void propose_loss(worker_view& it, const std::vector<run_key>& runs,
+                    bool gone);
+  void review_silence();
+  void review_unstarted(worker_view& it);
+  void plan();
+  void forget_old_jobs();
+  void applied_starts(const fleet::run_starts& starts);
+
+  controller_settings settings_;
+  clock_source& clock_;
+  fleet_log& log_;
+  metrics_registry& metrics_;
+  job_book book_;
+  worker_table workers_;
+  fleet_scheduler scheduler_;
+  bool leads_ = false;
+  bool unsettled_ = false;
+  uint64_t next_token_ = 1;
+  std::map<uint64_t, respond_function> waiting_;
+  // Losses proposed and not yet applied, by worker.
+  std::map<worker_id, std::set<run_key>> losing_;
+  std::map<job_number, time_point> over_since_;
+  time_point forgotten_at_{};
+  time_point led_since_{};
+};
+
+/// A response with just a status and a reason.
+fleet::fleet_response make_response(fleet::fleet_status status,
+                                    std::string reason = "");
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/job-book-save.cc
@@ -0,0 +1,114 @@
+// The book as bytes, for snapshots.
+#include <utility>
+
+#include "fleet/job-book.h"
+
+namespace kestrelreel {
+namespace detail {
+
+bool is_fresh(const task_entry& it) {
+  return it.phase == task_phase::waiting && it.run.value() == 0;
+}
+
+void save_tasks(const step_entry& step, fleet::saved_step& out) {
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const task_entry& it = step.tasks[i];
+    if (is_fresh(it)) continue;
+    fleet::saved_task& task = *out.add_tasks();
+    task.set_index(static_cast<uint32_t>(i));
+    task.set_run(static_cast<uint32_t>(it.run.value()));
+    task.set_failures(it.failures);
+    task.set_phase(static_cast<uint32_t>(it.phase));
+    task.set_worker(it.worker.str());
+    task.set_saved(it.saved);
+  }
+}
+
+}  // namespace detail
+
+fleet::saved_job job_book::save_job(const job_entry& job) const {
+  fleet::saved_job out;
+  *out.mutable_spec() = job.spec;
+  *out.mutable_queue() = job.queue;
+  out.set_phase(job.phase);
+  out.set_begun(job.begun);
+  out.set_order(job.order);
+  for (size_t time = 0; time < job.times.size(); ++time) {
+    for (size_t step = 0; step < job.times[time].size(); ++step) {
+      fleet::saved_step it;
+      detail::save_tasks(job.times[time][step], it);
+      it.set_time(static_cast<uint32_t>(time));
+      it.set_step(static_cast<uint32_t>(step));
+      const uint32_t n = job.times[time][step].gang_failures;
+      it.set_gang_failures(n);
+      if (it.tasks_size() > 0 || n > 0) *out.add_steps() = std::move(it);
+    }
+  }
+  return out;
+}
+
+std::string job_book::save() const {
+  fleet::fleet_snapshot out;
+  *out.mutable_config() = config_;
+  for (const auto& [number, job] : jobs_) *out.add_jobs() = save_job(job);
+  for (const auto& [worker, n] : last_ends_) {
+    fleet::saved_worker& it = *out.add_workers();
+    it.set_worker(worker.str());
+    it.set_last_end(n);
+  }
+  // Runs of jobs that are over are alive until their workers list the end.
+  for (const auto& [worker, runs] : runs_) {
+    for (const run_key& it : runs) {
+      fleet::run_start& run = *out.add_alive();
+      *run.mutable_task() = to_ref(it.task);
+      run.set_run(static_cast<uint32_t>(it.run.value()));
+      run.set_worker(worker.str());
+    }
+  }
+  out.set_next_order(next_order_);
+  return out.SerializeAsString();
+}
+
+void job_book::load_job(const fleet::saved_job& it) {
+  job_entry job;
+  job.spec = it.spec();
+  job.queue = it.queue();
+  job.phase = it.phase();
+  job.begun = it.begun();
+  job.order = it.order();
+  const job_number number(job.spec.job());
+  put_job(std::move(job));
+  job_entry& placed = jobs_.at(number);
+  for (const fleet::saved_step& saved : it.steps()) {
+    step_entry& step = placed.times.at(saved.time()).at(saved.step());
+    step.gang_failures = saved.gang_failures();
+    for (const fleet::saved_task& from : saved.tasks()) {
+      task_entry& task = step.tasks.at(from.index());
+      task.phase = static_cast<task_phase>(from.phase());
+      task.run = run_number(from.run());
+      task.failures = from.failures();
+      task.worker = worker_id(from.worker());
+      task.saved = from.saved();
+      if (task.phase == task_phase::done) ++step.done;
+      if (task.phase == task_phase::running) ++step.running;
+    }
+  }
+}
+
+void job_book::load(const std::string& bytes) {
+  fleet::fleet_snapshot in;
+  in.ParseFromString(bytes);
+  *this = job_book();
+  if (in.has_config()) put_config(in.config());
+  for (const fleet::saved_job& it : in.jobs()) load_job(it);
+  for (const fleet::saved_worker& it : in.workers()) {
+    last_ends_[worker_id(it.worker())] = it.last_end();
+  }
+  for (const fleet::run_start& it : in.alive()) {
+    runs_[worker_id(it.worker())].insert(
+        {to_key(it.task()), run_number(it.run())});
+  }
+  next_order_ = in.next_order();
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/job-book.cc
@@ -0,0 +1,263 @@
+#include "fleet/job-book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kestrelreel {
+
+const job_entry* job_book::find(job_number job) const {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const task_entry* job_book::find(const task_key& key) const {
+  const job_entry* job = find(key.job);
+  if (job == nullptr || key.time >= job->times.size()) return nullptr;
+  const auto& steps = job->times[key.time];
+  if (key.step >= steps.size()) return nullptr;
+  const auto& tasks = steps[key.step].tasks;
+  return key.index < tasks.size() ? &tasks[key.index] : nullptr;
+}
+
+task_entry* job_book::find_task(const task_key& key) {
+  return const_cast<task_entry*>(std::as_const(*this).find(key));
+}
+
+const fleet::step_spec* job_book::find_step(const task_key& key) const {
+  const job_entry* job = find(key.job);
+  if (job == nullptr) return nullptr;
+  const auto step = static_cast<int>(key.step);
+  return step < job->spec.steps_size() ? &job->spec.steps(step) : nullptr;
+}
+
+const fleet::queue_route& job_book::queue_of(const job_entry& job) const {
+  const auto it = queues_.find(job.queue.name());
+  if (it == queues_.end()) return job.queue;
+  return config_.queues(static_cast<int>(it->second));
+}
+
+const std::set<run_key>& job_book::runs_on(const worker_id& worker) const {
+  static const std::set<run_key> none;
+  const auto it = runs_.find(worker);
+  return it == runs_.end() ? none : it->second;
+}
+
+uint64_t job_book::last_end(const worker_id& worker) const {
+  const auto it = last_ends_.find(worker);
+  return it == last_ends_.end() ? 0 : it->second;
+}
+
+bool job_book::step_is_due(const job_entry& job, uint32_t time,
+                           uint32_t step) const {
+  const auto& steps = job.times[time];
+  for (const uint32_t it : job.spec.steps(static_cast<int>(step)).depends_on()) {
+    if (it >= steps.size()) return false;
+    if (steps[it].done < steps[it].tasks.size()) return false;
+  }
+  return true;
+}
+
+job_book::result job_book::apply(const fleet::fleet_command& command) {
+  switch (command.body_case()) {
+    case fleet::fleet_command::kConfig:
+      return put_config(command.config());
+    case fleet::fleet_command::kSubmit:
+      return submit(command.submit());
+    case fleet::fleet_command::kCancel:
+      return cancel(command.cancel());
+    case fleet::fleet_command::kStarts:
+      return start(command.starts());
+    case fleet::fleet_command::kReport:
+      return report(command.report());
+    case fleet::fleet_command::kLoss:
+      return lose(command.loss());
+    case fleet::fleet_command::kForget:
+      return forget(command.forget());
+    case fleet::fleet_command::BODY_NOT_SET:
+      break;
+  }
+  return {fleet::fleet_invalid, "a command of a newer version"};
+}
+
+/// The highest version rules; any other is acknowledged and changes nothing.
+job_book::result job_book::put_config(const fleet::fleet_config& config) {
+  if (config.version() <= config_.version()) return {};
+  config_ = config;
+  queues_.clear();
+  for (int i = 0; i < config_.queues_size(); ++i) {
+    queues_[config_.queues(i).name()] = static_cast<size_t>(i);
+  }
+  return {};
+}
+
+job_book::result job_book::submit(const fleet::fleet_job_spec& spec) {
+  if (jobs_.contains(job_number(spec.job()))) return {};
+  const auto queue = queues_.find(spec.queue());
+  if (queue == queues_.end()) return {fleet::fleet_no_queue, "no such queue"};
+  job_entry job;
+  job.spec = spec;
+  job.queue = config_.queues(static_cast<int>(queue->second));
+  job.order = next_order_++;
+  put_job(std::move(job));
+  return {};
+}
+
+void job_book::put_job(job_entry job) {
+  if (job.live()) {
+    job.times.resize(std::max(1u, job.spec.times()));
+    for (auto& steps : job.times) {
+      for (const fleet::step_spec& it : job.spec.steps()) {
+        steps.emplace_back().tasks.resize(it.count());
+      }
+    }
+    live_[job.order] = job_number(job.spec.job());
+  }
+  const job_number number(job.spec.job());
+  jobs_.insert_or_assign(number, std::move(job));
+}
+
+job_book::result job_book::cancel(const fleet::job_list& jobs) {
+  for (const uint64_t it : jobs.jobs()) {
+    const auto found = jobs_.find(job_number(it));
+    if (found == jobs_.end()) return {fleet::fleet_no_job, "no such job"};
+    if (found->second.live()) finish(found->second, fleet::job_canceled);
+  }
+  return {};
+}
+
+job_book::result job_book::start(const fleet::run_starts& starts) {
+  for (const fleet::run_start& it : starts.starts()) start_one(it);
+  return {};
+}
+
+/// A start that no longer fits the state, such as one of a job that was
+/// cancelled meanwhile, does nothing.
+void job_book::start_one(const fleet::run_start& it) {
+  const run_key run{to_key(it.task()), run_number(it.run())};
+  task_entry* task = find_task(run.task);
+  if (task == nullptr || task->phase != task_phase::waiting) return;
+  job_entry& job = jobs_.at(run.task.job);
+  if (!job.live() || run.run <= task->run) return;
+  task->phase = task_phase::running;
+  task->run = run.run;
+  task->worker = worker_id(it.worker());
+  ++job.times[run.task.time][run.task.step].running;
+  job.begun = true;
+  job.phase = fleet::job_running;
+  runs_[task->worker].insert(run);
+}
+
+job_book::result job_book::report(const fleet::worker_report& report) {
+  const worker_id worker(report.worker());
+  uint64_t& last = last_ends_[worker];
+  for (const fleet::run_end& it : report.ends()) {
+    if (it.number() <= last) continue;
+    last = it.number();
+    close(worker, {to_key(it.task()), run_number(it.run())}, it.outcome(),
+          it.saved());
+  }
+  return {};
+}
+
+void job_book::close(const worker_id& worker, const run_key& run,
+                     fleet::run_outcome outcome, const std::string& saved) {
+  const auto found = runs_.find(worker);
+  const bool held = found != runs_.end() && found->second.erase(run) > 0;
+  if (held && found->second.empty()) runs_.erase(found);
+  task_entry* task = find_task(run.task);
+  if (task == nullptr) return;
+  job_entry& job = jobs_.at(run.task.job);
+  step_entry& step = job.times[run.task.time][run.task.step];
+  const fleet::step_spec& spec = *find_step(run.task);
+  // An end that comes after its run was given up on still tells that the work
+  // is done, as long as no other run of it has begun.
+  const bool late = !held && task->phase == task_phase::waiting &&
+                    task->run == run.run && outcome == fleet::run_done;
+  if (!held && !late) return;
+  // Another member's good end has already stood for this one.
+  const bool current =
+      task->phase == task_phase::running && task->run == run.run;
+  if (held && !current) return;
+  if (held) {
+    task->phase = task_phase::waiting;
+    --step.running;
+  }
+  if (!saved.empty()) task->saved = saved;
+  if (outcome == fleet::run_failed) return count_failure(job, step, *task, spec);
+  if (spec.gang()) close_gang(job, step, run.run, saved);
+  if (outcome != fleet::run_done || spec.long_running()) return;
+  mark_done(job, step, *task);
+  // One member's good end stands for its whole gang.
+  for (task_entry& it : step.tasks) {
+    if (spec.gang() && it.run == run.run) mark_done(job, step, it);
+  }
+  finish_if_done(job);
+}
+
+/// A checkpoint of any member serves for all.
+void job_book::close_gang(job_entry& /*job*/, step_entry& step, run_number run,
+                          const std::string& saved) {
+  if (saved.empty()) return;
+  for (task_entry& it : step.tasks) {
+    if (it.run == run) it.saved = saved;
+  }
+}
+
+void job_book::mark_done(job_entry& /*job*/, step_entry& step,
+                         task_entry& task) {
+  if (task.phase == task_phase::done) return;
+  if (task.phase == task_phase::running) --step.running;
+  task.phase = task_phase::done;
+  ++step.done;
+}
+
+void job_book::count_failure(job_entry& job, step_entry& step,
+                             task_entry& task, const fleet::step_spec& spec) {
+  if (spec.long_running()) return;
+  ++task.failures;
+  if (spec.gang()) ++step.gang_failures;
+  const uint32_t n = spec.gang() ? step.gang_failures : task.failures;
+  if (n >= queue_of(job).max_attempts()) finish(job, fleet::job_failed);
+}
+
+void job_book::finish_if_done(job_entry& job) {
+  for (const auto& steps : job.times) {
+    for (const step_entry& it : steps) {
+      if (it.done < it.tasks.size()) return;
+    }
+  }
+  finish(job, fleet::job_succeeded);
+}
+
+/// Runs that are still alive stay in `runs_` until they end.
+void job_book::finish(job_entry& job, fleet::job_phase phase) {
+  if (!job.live()) return;
+  job.phase = phase;
+  live_.erase(job.order);
+  job.times.clear();
+  job.times.shrink_to_fit();
+  job.spec.clear_text();
+}
+
+job_book::result job_book::lose(const fleet::worker_loss& loss) {
+  const worker_id worker(loss.worker());
+  for (const fleet::run_loss& it : loss.runs()) {
+    close(worker, {to_key(it.task()), run_number(it.run())}, fleet::run_lapsed,
+          it.saved());
+  }
+  if (!loss.gone()) return {};
+  const std::set<run_key> rest = runs_on(worker);
+  for (const run_key& it : rest) close(worker, it, fleet::run_lapsed, "");
+  last_ends_.erase(worker);
+  return {};
+}
+
+job_book::result job_book::forget(const fleet::job_list& jobs) {
+  for (const uint64_t it : jobs.jobs()) {
+    const auto found = jobs_.find(job_number(it));
+    if (found != jobs_.end() && !found->second.live()) jobs_.erase(found);
+  }
+  return {};
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/job-book.h
@@ -0,0 +1,126 @@
+// The replicated state of a seeded deployment: the configuration, the jobs and
+// every run that may be alive. Equal logs give equal books.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/task-key.h"
+#include "proto/fleet.pb.h"
+
+namespace kestrelreel {
+
+/// What a task is doing, as far as it was recorded.
+enum class task_phase : uint8_t { waiting = 0, running = 1, done = 2 };
+
+/// One task of one time of a step.
+struct task_entry {
+  task_phase phase = task_phase::waiting;
+  run_number run;
+  uint32_t failures = 0;
+  /// Who runs it, while `running`.
+  worker_id worker;
+  /// The newest checkpoint that was recorded; empty without one.
+  std::string saved;
+};
+
+/// One time of a step.
+struct step_entry {
+  std::vector<task_entry> tasks;
+  uint32_t done = 0;
+  uint32_t running = 0;
+  /// Runs of the whole gang that failed.
+  uint32_t gang_failures = 0;
+};
+
+/// One job.
+struct job_entry {
+  fleet::fleet_job_spec spec;
+  /// The queue as it was when the job came; a later configuration goes first.
+  fleet::queue_route queue;
+  fleet::job_phase phase = fleet::job_queued;
+  /// True once a task of it has been started.
+  bool begun = false;
+  /// Rises with every job that is accepted.
+  uint64_t order = 0;
+  /// The steps of each time; empty once the job is over.
+  std::vector<std::vector<step_entry>> times;
+
+  bool live() const {
+    return phase == fleet::job_queued || phase == fleet::job_running;
+  }
+};
+
+/// The state. Only `apply` and `load` change it.
+class job_book {
+ public:
+  /// What an applied command came to.
+  struct result {
+    fleet::fleet_status status = fleet::fleet_ok;
+    std::string reason;
+  };
+
+  result apply(const fleet::fleet_command& command);
+  /// The whole state, for `load` elsewhere.
+  std::string save() const;
+  void load(const std::string& bytes);
+
+  const fleet::fleet_config& config() const { return config_; }
+  const std::map<job_number, job_entry>& jobs() const { return jobs_; }
+  const job_entry* find(job_number job) const;
+  /// Jobs that are neither over nor refused, in the order of their coming.
+  const std::map<uint64_t, job_number>& live() const { return live_; }
+  /// The entry of a task, or null when its job or place does not exist.
+  const task_entry* find(const task_key& key) const;
+  const fleet::step_spec* find_step(const task_key& key) const;
+  /// The queue that rules a job: the configuration's, or else the one that it
+  /// came by.
+  const fleet::queue_route& queue_of(const job_entry& job) const;
+
+  /// Runs that may be alive on a worker.
+  const std::set<run_key>& runs_on(const worker_id& worker) const;
+  const std::map<worker_id, std::set<run_key>>& runs() const { return runs_; }
+  /// Number of the last end of a worker that was recorded; 0 before any.
+  uint64_t last_end(const worker_id& worker) const;
+  const std::map<worker_id, uint64_t>& workers() const { return last_ends_; }
+
+  /// True when all steps that `step` depends on are done in that time.
+  bool step_is_due(const job_entry& job, uint32_t time, uint32_t step) const;
+
+ private:
+  result put_config(const fleet::fleet_config& config);
+  result submit(const fleet::fleet_job_spec& spec);
+  result cancel(const fleet::job_list& jobs);
+  result start(const fleet::run_starts& starts);
+  result report(const fleet::worker_report& report);
+  result lose(const fleet::worker_loss& loss);
+  result forget(const fleet::job_list& jobs);
+
+  void start_one(const fleet::run_start& it);
+  void close(const worker_id& worker, const run_key& run,
+             fleet::run_outcome outcome, const std::string& saved);
+  void mark_done(job_entry& job, step_entry& step, task_entry& task);
+  void count_failure(job_entry& job, step_entry& step, task_entry& task,
+                     const fleet::step_spec& spec);
+  void close_gang(job_entry& job, step_entry& step, run_number run,
+                  const std::string& saved);
+  void finish(job_entry& job, fleet::job_phase phase);
+  void finish_if_done(job_entry& job);
+  void put_job(job_entry job);
+  task_entry* find_task(const task_key& key);
+  fleet::saved_job save_job(const job_entry& job) const;
+  void load_job(const fleet::saved_job& it);
+
+  fleet::fleet_config config_;
+  std::map<std::string, size_t> queues_;
+  std::map<job_number, job_entry> jobs_;
+  std::map<uint64_t, job_number> live_;
+  std::map<worker_id, std::set<run_key>> runs_;
+  std::map<worker_id, uint64_t> last_ends_;
+  uint64_t next_order_ = 1;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/scheduler.cc
@@ -0,0 +1,250 @@
+#include "fleet/scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr unsigned percent = 100;
+/// A task away from its data takes longer; one rack in a few is near.
+constexpr double rack_bonus = 1e6;
+/// Tasks of one step on one worker are lost together.
+constexpr double crowd_cost = 4'000;
+
+/// The longest chain of the estimates, in ms.
+uint64_t longest_chain(const fleet::fleet_job_spec& spec) {
+  std::vector<uint64_t> ends;
+  uint64_t longest = 0;
+  for (const fleet::step_spec& it : spec.steps()) {
+    uint64_t start = 0;
+    for (const uint32_t on : it.depends_on()) {
+      start = std::max(start, ends[on]);
+    }
+    ends.push_back(start + it.estimate_ms());
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace detail
+
+bool has_label(const fleet::worker_beat& beat, const std::string& label) {
+  const auto& labels = beat.labels();
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+void worker_load::add(const task_key& task, const fleet::step_spec& step) {
+  if (step.fills()) fill_cpu += step.cpu_milli();
+  if (!step.fills()) cpu += step.cpu_milli();
+  if (step.target_ms() > 0) serving_cpu += step.cpu_milli();
+  memory_mb += step.memory_mb();
+  accelerators += step.accelerators();
+  ++steps[{task.job, task.time, task.step, 0}];
+}
+
+worker_load fleet_scheduler::load_of(const worker_view& it) const {
+  worker_load load;
+  for (const run_key& run : book_.runs_on(it.id)) {
+    const fleet::step_spec* step = book_.find_step(run.task);
+    if (step != nullptr) load.add(run.task, *step);
+  }
+  for (const auto& [run, step] : it.proposed) load.add(run.task, step);
+  return load;
+}
+
+bool fleet_scheduler::is_usable(const worker_view& it) const {
+  const time_point now = clock_.now();
+  return it.known && !it.beat.draining() && it.avoided_until <= now &&
+         now - it.heard < settings_.silent_limit;
+}
+
+std::vector<fleet_scheduler::candidate> fleet_scheduler::candidates() const {
+  std::vector<candidate> all;
+  for (auto& [id, it] : workers_.views()) {
+    if (is_usable(it)) all.push_back({&it, load_of(it)});
+  }
+  return all;
+}
+
+time_point fleet_scheduler::deadline_of(job_number number,
+                                        const job_entry& job) {
+  const time_point accepted =
+      accepted_.try_emplace(number, clock_.now()).first->second;
+  const fleet::queue_route& queue = book_.queue_of(job);
+  const double chain =
+      queue.stretch() * static_cast<double>(detail::longest_chain(job.spec));
+  return accepted + milliseconds(static_cast<int64_t>(chain)) +
+         milliseconds(queue.objective_ms());
+}
+
+std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
+  std::vector<waiting_job> jobs;
+  for (const auto& [order, number] : book_.live()) {
+    const job_entry& job = *book_.find(number);
+    const bool waits = std::any_of(
+        job.times.begin(), job.times.end(), [](const auto& steps) {
+          return std::any_of(steps.begin(), steps.end(), [](const auto& it) {
+            return it.done + it.running < it.tasks.size();
+          });
+        });
+    if (!waits) continue;
+    jobs.push_back({book_.queue_of(job).priority(), deadline_of(number, job),
+                    number, &job});
+  }
+  std::stable_sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.priority, a.deadline) < std::tie(b.priority, b.deadline);
+  });
+  return jobs;
+}
+
+fleet::run_starts fleet_scheduler::plan(uint64_t wall_ms) {
+  proposed_.clear();
+  for (const auto& [id, it] : workers_.views()) {
+    for (const auto& [run, step] : it.proposed) proposed_[run.task] = id;
+  }
+  fleet::run_starts out;
+  const std::vector<waiting_job> jobs = waiting_jobs();
+  if (jobs.empty()) return out;
+  std::vector<candidate> all = candidates();
+  for (const waiting_job& it : jobs) plan_job(it, wall_ms, all, out);
+  return out;
+}
+
+void fleet_scheduler::plan_job(const waiting_job& job, uint64_t wall_ms,
+                               std::vector<candidate>& all,
+                               fleet::run_starts& out) {
+  const fleet::fleet_job_spec& spec = job.entry->spec;
+  for (uint32_t time = 0; time < job.entry->times.size(); ++time) {
+    const uint64_t due = spec.start_ms() + time * spec.interval_ms();
+    if (spec.times() > 0 && wall_ms < due) return;
+    const auto& steps = job.entry->times[time];
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+      const step_entry& it = steps[step];
+      if (it.done + it.running >= it.tasks.size()) continue;
+      if (!book_.step_is_due(*job.entry, time, step)) continue;
+      plan_step(job, time, step, all, out);
+    }
+  }
+}
+
+bool fleet_scheduler::is_proposed(const task_key& task) const {
+  return proposed_.contains(task);
+}
+
+std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
+    const waiting_job& job, uint32_t time, uint32_t step,
+    std::vector<candidate>& all, const std::string& rack) {
+  const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
+  const step_entry& entry = job.entry->times[time][step];
+  run_number gang_run;
+  for (const task_entry& it : entry.tasks) {
+    gang_run = std::max(gang_run, it.run);
+  }
+  std::vector<placement> placed;
+  for (uint32_t i = 0; i < entry.tasks.size(); ++i) {
+    const task_entry& task = entry.tasks[i];
+    const task_key key{job.number, time, step, i};
+    if (task.phase != task_phase::waiting || is_proposed(key)) continue;
+    candidate* where = choose(job, key, spec, rack, all);
+    if (where == nullptr) break;
+    where->load.add(key, spec);
+    placed.push_back(
+        {key, (spec.gang() ? gang_run : task.run).next(), where});
+  }
+  return placed;
+}
+
+void fleet_scheduler::undo(std::vector<placement>& placed,
+                           const fleet::step_spec& /*spec*/) {
+  for (const placement& it : placed) {
+    it.where->load = load_of(*it.where->view);
+  }
+  placed.clear();
+}
+
+void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
+                                uint32_t step, std::vector<candidate>& all,
+                                fleet::run_starts& out) {
+  const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
+  const step_entry& entry = job.entry->times[time][step];
+  // A gang starts whole: none of an earlier run may be alive any more.
+  if (spec.gang() && entry.running > 0) return;
+  std::vector<placement> placed = place_tasks(job, time, step, all, "");
+  const size_t wanted = entry.tasks.size() - entry.done;
+  if (spec.gang() && placed.size() < wanted) return undo(placed, spec);
+  for (const placement& it : placed) {
+    proposed_[it.task] = it.where->view->id;
+    it.where->view->proposed[{it.task, it.run}] = spec;
+    fleet::run_start& start = *out.add_starts();
+    *start.mutable_task() = to_ref(it.task);
+    start.set_run(static_cast<uint32_t>(it.run.value()));
+    start.set_worker(it.where->view->id.str());
+  }
+}
+
+int64_t fleet_scheduler::left_over(const candidate& it) const {
+  const auto use = [&](uint64_t cpu, unsigned share) {
+    return static_cast<int64_t>(cpu * share / detail::percent);
+  };
+  const auto capacity = static_cast<int64_t>(it.view->beat.cpu_milli());
+  return capacity - use(it.load.cpu - it.load.serving_cpu, detail::percent) -
+         use(it.load.serving_cpu, settings_.serving_use_percent) -
+         use(it.load.fill_cpu, it.view->pace);
+}
+
+bool fleet_scheduler::fits(const candidate& it,
+                           const fleet::step_spec& spec) const {
+  const fleet::worker_beat& room = it.view->beat;
+  if (it.load.memory_mb + spec.memory_mb() > room.memory_mb()) return false;
+  if (it.load.accelerators + spec.accelerators() > room.accelerators()) {
+    return false;
+  }
+  if (!spec.fills()) return it.load.cpu + spec.cpu_milli() <= room.cpu_milli();
+  const auto wanted = static_cast<int64_t>(
+      spec.cpu_milli() * settings_.fill_share_percent / detail::percent);
+  return it.view->pace > 0 && left_over(it) >= wanted;
+}
+
+double fleet_scheduler::score(const candidate& it, const task_key& task,
+                              const fleet::step_spec& spec) const {
+  double score = static_cast<double>(left_over(it));
+  const auto same = it.load.steps.find({task.job, task.time, task.step, 0});
+  if (same != it.load.steps.end()) score -= detail::crowd_cost * same->second;
+  const std::string& rack = spec.affinity_rack();
+  if (!rack.empty() && has_label(it.view->beat, rack)) {
+    score += detail::rack_bonus;
+  }
+  if (spec.fills()) score *= it.view->pace / double{detail::percent};
+  return score;
+}
+
+fleet_scheduler::candidate* fleet_scheduler::choose(
+    const waiting_job& job, const task_key& task, const fleet::step_spec& spec,
+    const std::string& rack, std::vector<candidate>& all) const {
+  const std::string& pool = book_.queue_of(*job.entry).pool();
+  candidate* best = nullptr;
+  double best_score = 0;
+  for (candidate& it : all) {
+    const fleet::worker_beat& beat = it.view->beat;
+    if (beat.pool() != pool || !fits(it, spec)) continue;
+    if (!spec.requires_label().empty() &&
+        !has_label(beat, spec.requires_label())) {
+      continue;
+    }
+    if (!rack.empty() && !has_label(beat, rack)) continue;
+    if (spec.anti_affinity() > 0) {
+      const auto n = it.load.steps.find({task.job, task.time, task.step, 0});
+      if (n != it.load.steps.end() && n->second >= spec.anti_affinity()) {
+        continue;
+      }
+    }
+    const double value = score(it, task, spec);
+    if (best != nullptr && value <= best_score) continue;
+    best = &it;
+    best_score = value;
+  }
+  return best;
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/scheduler.h
@@ -0,0 +1,112 @@
+// Which waiting task starts on which worker, and how hard fill tasks may work.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/job-book.h"
+#include "fleet/worker-table.h"
+
+namespace kestrelreel {
+
+/// What is taken of one worker, by all runs that may be alive there.
+struct worker_load {
+  /// Processors of tasks whose share is counted.
+  uint64_t cpu = 0;
+  /// The part of it that serves users of its own.
+  uint64_t serving_cpu = 0;
+  /// Processors that fill tasks would use.
+  uint64_t fill_cpu = 0;
+  uint64_t memory_mb = 0;
+  uint64_t accelerators = 0;
+  /// Tasks by job, time and step.
+  std::map<task_key, uint32_t> steps;
+
+  void add(const task_key& task, const fleet::step_spec& step);
+};
+
+/// The limits and weights of the choice.
+struct scheduler_settings {
+  /// The share of a serving task's processors that it uses on average, in
+  /// percent; measured on the users' recorded days.
+  unsigned serving_use_percent = 55;
+  /// A fill task starts where at least this share of its processors is left.
+  unsigned fill_share_percent = 90;
+  /// A worker silent for longer gets no new work; two heartbeat intervals.
+  milliseconds silent_limit{3'000};
+  /// Failed ends in a row, of at least two jobs, after which a worker is
+  /// avoided.
+  unsigned avoid_after = 3;
+};
+
+/// Decides; keeps only what it derives from the book and the workers.
+class fleet_scheduler {
+ public:
+  fleet_scheduler(scheduler_settings settings, const job_book& book,
+                  worker_table& workers, clock_source& clock)
+      : settings_(settings), book_(book), workers_(workers), clock_(clock) {}
+
+  /// The starts that can be made now, the most urgent first; each is noted as
+  /// proposed at its worker. `wall_ms` is the time of day, for jobs that are
+  /// due at a time.
+  fleet::run_starts plan(uint64_t wall_ms);
+  /// What is taken of the worker.
+  worker_load load_of(const worker_view& it) const;
+  /// Sets the pace of the fill tasks by the readings of the serving ones.
+  void pace(worker_view& it) const;
+  /// Forgets what belongs to a job that is over.
+  void forget(job_number job) { accepted_.erase(job); }
+
+ private:
+  struct candidate {
+    worker_view* view;
+    worker_load load;
+  };
+  struct waiting_job {
+    uint32_t priority;
+    time_point deadline;
+    job_number number;
+    const job_entry* entry;
+  };
+  struct placement {
+    task_key task;
+    run_number run;
+    candidate* where;
+  };
+
+  std::vector<waiting_job> waiting_jobs();
+  time_point deadline_of(job_number number, const job_entry& job);
+  std::vector<candidate> candidates() const;
+  bool is_usable(const worker_view& it) const;
+  void plan_job(const waiting_job& job, uint64_t wall_ms,
+                std::vector<candidate>& all, fleet::run_starts& out);
+  void plan_step(const waiting_job& job, uint32_t time, uint32_t step,
+                 std::vector<candidate>& all, fleet::run_starts& out);
+  std::vector<placement> place_tasks(const waiting_job& job, uint32_t time,
+                                     uint32_t step,
+                                     std::vector<candidate>& all,
+                                     const std::string& rack);
+  candidate* choose(const waiting_job& job, const task_key& task,
+                    const fleet::step_spec& spec, const std::string& rack,
+                    std::vector<candidate>& all) const;
+  bool fits(const candidate& it, const fleet::step_spec& spec) const;
+  double score(const candidate& it, const task_key& task,
+               const fleet::step_spec& spec) const;
+  int64_t left_over(const candidate& it) const;
+  void undo(std::vector<placement>& placed, const fleet::step_spec& spec);
+  bool is_proposed(const task_key& task) const;
+
+  scheduler_settings settings_;
+  const job_book& book_;
+  worker_table& workers_;
+  clock_source& clock_;
+  std::map<job_number, time_point> accepted_;
+  // Tasks whose start is proposed and not yet in the book.
+  std::map<task_key, worker_id> proposed_;
+};
+
+/// True when the worker bears the label.
+bool has_label(const fleet::worker_beat& beat, const std::string& label);
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/worker-table.h
@@ -0,0 +1,102 @@
+// What the leader knows of the workers from their heartbeats. Nothing of it is
+// replicated: a new leader learns it anew.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "fleet/task-key.h"
+#include "proto/fleet.pb.h"
+
+namespace kestrelreel {
+
+/// How long workers may run on without a word, and what clocks may do.
+struct lease_settings {
+  /// What each answer grants, from when the worker sent its heartbeat.
+  milliseconds hold{6'000};
+  /// Most that a worker's clock runs slow.
+  unsigned drift_percent = 2;
+  /// Covers the timers of both sides.
+  milliseconds slack{100};
+  /// A worker drops an answer that comes later than this.
+  milliseconds answer_limit{1'000};
+
+  /// From the arrival of a heartbeat until nothing that it prolonged is alive.
+  milliseconds over_after() const {
+    return hold + hold * drift_percent / 100 + slack;
+  }
+};
+
+/// All of a task's work, in percent.
+constexpr unsigned full_pace = 100;
+
+/// One life of a worker.
+struct worker_view {
+  worker_id id;
+  fleet::worker_beat beat;
+  /// When the last heartbeat came; `known` is false before the first.
+  time_point heard{};
+  bool known = false;
+  /// When everything that this leader or an earlier one let run is over.
+  time_point over_at{};
+  /// What runs there by the last heartbeat.
+  std::map<run_key, fleet::running_row> rows;
+  /// When a start was last sent.
+  std::map<run_key, time_point> sent;
+  /// The last end that was proposed to the log.
+  uint64_t end_proposed = 0;
+  /// Starts proposed and not yet in the book.
+  std::map<run_key, fleet::step_spec> proposed;
+  /// The share that fill tasks may work at, in percent, and what each was told.
+  unsigned pace = full_pace;
+  std::map<run_key, unsigned> paces;
+  /// Ends `failed` in a row, and of how many jobs.
+  unsigned failures = 0;
+  job_number failed_job;
+  unsigned failed_jobs = 0;
+  /// Gets no new work before this.
+  time_point avoided_until{};
+  unsigned avoided_times = 0;
+  /// The answer that the worker waits for, and since when.
+  std::function<void(fleet::fleet_response)> respond;
+  time_point asked{};
+  /// Least difference of its clock to ours so far: how long ago a heartbeat
+  /// was sent is told by how much this one differs.
+  int64_t clock_offset = INT64_MAX;
+};
+
+/// The workers by id.
+class worker_table {
+ public:
+  worker_table(lease_settings leases, clock_source& clock)
+      : leases_(leases), clock_(clock) {}
+
+  /// Forgets all; each worker that may run something is taken in with
+  /// `expect`.
+  void clear() { views_.clear(); }
+  /// A worker that an earlier leader may have granted time just now.
+  worker_view& expect(const worker_id& id);
+  /// Takes a heartbeat in. Null when it is out of order or was sent too long
+  /// ago for its answer to count.
+  worker_view* heard(const fleet::worker_beat& beat);
+  void erase(const worker_id& id) { views_.erase(id); }
+  worker_view* find(const worker_id& id);
+  std::map<worker_id, worker_view>& views() { return views_; }
+  const std::map<worker_id, worker_view>& views() const { return views_; }
+  const lease_settings& leases() const { return leases_; }
+  /// The worker's answer was sent: what it runs may go on for that long.
+  void granted(worker_view& it) { it.over_at = it.heard + leases_.over_after(); }
+
+ private:
+  bool too_old(worker_view& it, const fleet::worker_beat& beat) const;
+
+  lease_settings leases_;
+  clock_source& clock_;
+  std::map<worker_id, worker_view> views_;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/frame-stream.h
@@ -0,0 +1,55 @@
+// A TCP connection between two boxes that carries length-prefixed messages.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "proto/fleet.pb.h"
+
+namespace kestrelreel {
+
+/// Largest message, in bytes: a snapshot of the largest state.
+constexpr uint32_t most_frame_bytes = 64 << 20;
+/// Bytes that may wait for a slow peer before the connection is given up.
+constexpr size_t most_queued_bytes = 80 << 20;
+
+/// One connection. It lives as long as a read or write is under way, or its
+/// owner holds it.
+class frame_stream : public std::enable_shared_from_this<frame_stream> {
+ public:
+  using frame_handler = std::function<void(const fleet::fleet_frame&)>;
+  using close_handler = std::function<void()>;
+
+  explicit frame_stream(boost::asio::ip::tcp::socket socket)
+      : socket_(std::move(socket)) {}
+
+  /// Begins to read. `on_close` is called once, when the connection is lost.
+  void start(frame_handler on_frame, close_handler on_close);
+  /// Queues a frame; all that came up while a write was under way goes out
+  /// together.
+  void send(const fleet::fleet_frame& frame);
+  void close();
+  bool is_open() const { return open_; }
+
+ private:
+  void read();
+  bool take_frames();
+  void write();
+  void set_options();
+
+  boost::asio::ip::tcp::socket socket_;
+  frame_handler on_frame_;
+  close_handler on_close_;
+  std::string in_;
+  std::vector<char> chunk_;
+  std::string queued_;
+  std::string writing_;
+  bool write_out_ = false;
+  bool open_ = true;
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/http-service.cc
@@ -0,0 +1,234 @@
+#include "net/http-service.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "base/text.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_header_too_large = 431;
+constexpr int64_t ms_per_s = 1'000;
+
+uint64_t number_or_zero(std::string_view text) {
+  uint64_t n = 0;
+  const auto end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, n);
+  return result.ec == std::errc() && result.ptr == end ? n : 0;
+}
+
+unsigned status_of(beast::error_code ec) {
+  if (ec == http::error::body_limit) return status_too_large;
+  if (ec == http::error::header_limit) return status_header_too_large;
+  return status_bad_request;
+}
+
+/// True for the errors of a request that is no sound HTTP.
+bool is_malformed(beast::error_code ec) {
+  return ec.category() == http::make_error_code(http::error::bad_method)
+                              .category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+}  // namespace
+
+/// One connection; one request at a time.
+class http_service::session : public std::enable_shared_from_this<session> {
+ public:
+  session(http_service& owner, tcp::socket socket)
+      : owner_(owner), stream_(std::move(socket)) {}
+
+  void wait() {
+    if (buffer_.size() > 0) return read();
+    stream_.expires_after(owner_.limits_.idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(first_bytes),
+        [self = shared_from_this()](beast::error_code ec, size_t n) {
+          if (ec) return self->end();
+          self->buffer_.commit(n);
+          self->read();
+        });
+  }
+
+  void close() {
+    beast::error_code ec;
+    stream_.socket().close(ec);
+  }
+
+  bool idle() const { return !busy_ && buffer_.size() == 0; }
+
+ private:
+  static constexpr size_t first_bytes = 8'192;
+
+  void read() {
+    parser_.emplace();
+    parser_->header_limit(owner_.limits_.header_bytes);
+    parser_->body_limit(owner_.limits_.body_bytes);
+    stream_.expires_after(owner_.limits_.header_timeout);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](beast::error_code ec, size_t) {
+                       self->on_read(ec);
+                     });
+  }
+
+  void on_read(beast::error_code ec) {
+    if (is_malformed(ec)) return refuse(ec);
+    if (ec) return end();
+    const auto& request = parser_->get();
+    const auto view = [](beast::string_view s) {
+      return std::string(s.data(), s.size());
+    };
+    http_call call;
+    call.method = view(request.method_string());
+    call.target = view(request.target());
+    call.host = view(request[http::field::host]);
+    if (!owner_.deadline_header_.empty()) {
+      call.deadline_ms = number_or_zero(
+          view(request[beast::string_view(owner_.deadline_header_)]));
+    }
+    keep_alive_ = request.keep_alive();
+    call.body = std::move(parser_->get().body());
+    stream_.expires_never();
+    busy_ = true;
+    ++owner_.under_way_;
+    owner_.on_call_(call, [self = shared_from_this(),
+                           done = false](const http_answer& answer) mutable {
+      if (!std::exchange(done, true)) self->write(answer);
+    });
+  }
+
+  void refuse(beast::error_code ec) {
+    log_event("http", log_level::warn, "request-malformed")
+        .with("error", ec.message())
+        .with("status", status_of(ec));
+    keep_alive_ = false;
+    busy_ = true;
+    ++owner_.under_way_;
+    http_answer answer;
+    answer.status = status_of(ec);
+    write(answer);
+  }
+
+  void write(const http_answer& answer) {
+    response_ = {};
+    response_.version(http_version);
+    response_.result(answer.status);
+    if (!answer.body.empty()) {
+      response_.set(http::field::content_type, answer.content_type);
+    }
+    if (answer.retry_after.count() > 0) {
+      const int64_t s = (answer.retry_after.count() + ms_per_s - 1) / ms_per_s;
+      response_.set(http::field::retry_after, std::to_string(s));
+    }
+    response_.keep_alive(keep_alive_ && !owner_.draining_);
+    response_.body() = answer.body;
+    response_.prepare_payload();
+    stream_.expires_after(owner_.limits_.idle_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](beast::error_code ec, size_t) {
+          self->busy_ = false;
+          --self->owner_.under_way_;
+          if (ec || !self->response_.keep_alive()) return self->finish();
+          self->wait();
+        });
+  }
+
+  /// Lets the caller read the answer before the connection goes.
+  void finish() {
+    beast::error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    end();
+  }
+
+  void end() {
+    close();
+    if (!owner_.alive_) return;
+    owner_.sessions_.erase(shared_from_this());
+  }
+
+  static constexpr unsigned http_version = 11;
+
+  http_service& owner_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  bool keep_alive_ = true;
+  bool busy_ = false;
+};
+
+http_service::http_service(boost::asio::io_context& io, handler on_call,
+                           std::string deadline_header)
+    : io_(io),
+      on_call_(std::move(on_call)),
+      deadline_header_(std::move(deadline_header)),
+      acceptor_(io) {}
+
+http_service::~http_service() { close(); }
+
+absl::Status http_service::listen(const std::string& address) {
+  std::string host;
+  uint16_t port = 0;
+  boost::system::error_code ec;
+  if (!split_address(address, host, port)) {
+    return absl::InvalidArgumentError(str_cat(address, " is no IP:PORT"));
+  }
+  const auto ip = boost::asio::ip::make_address(host, ec);
+  if (!ec) acceptor_.open(tcp::v4(), ec);
+  if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_.bind({ip, port}, ec);
+  if (!ec) {
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return absl::UnavailableError(
+        str_cat("cannot listen on ", address, ": ", ec.message()));
+  }
+  accept();
+  return absl::OkStatus();
+}
+
+void http_service::accept() {
+  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](
+                             boost::system::error_code ec, tcp::socket socket) {
+    if (alive.expired() || ec == boost::asio::error::operation_aborted) return;
+    if (ec) {
+      log_event("http", log_level::warn, "accept-failed")
+          .with("error", ec.message());
+    } else if (sessions_.size() >= limits_.connections) {
+      log_event("http", log_level::warn, "connection-refused")
+          .with("connections", sessions_.size());
+    } else {
+      boost::system::error_code option;
+      socket.set_option(tcp::no_delay(true), option);
+      auto it = std::make_shared<session>(*this, std::move(socket));
+      sessions_.insert(it);
+      it->wait();
+    }
+    accept();
+  });
+}
+
+void http_service::drain() { draining_ = true; }
+
+void http_service::close() {
+  alive_.reset();
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+  const auto sessions = std::exchange(sessions_, {});
+  for (const auto& it : sessions) it->close();
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/http-service.h
@@ -0,0 +1,81 @@
+// A small HTTP/1.1 server: whole requests in, whole answers out.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "base/clock.h"
+
+namespace kestrelreel {
+
+/// A whole request.
+struct http_call {
+  std::string method;
+  /// Path and query as sent.
+  std::string target;
+  std::string host;
+  /// Milliseconds that the caller waits, by the header that the server was
+  /// told of; 0 when it names none.
+  uint64_t deadline_ms = 0;
+  std::string body;
+};
+
+/// A whole answer.
+struct http_answer {
+  unsigned status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  /// When the caller may come back; 0 names no time.
+  milliseconds retry_after{0};
+};
+
+/// What one connection may take.
+struct http_limits {
+  uint32_t header_bytes = 16'384;
+  uint64_t body_bytes = 4 << 20;
+  milliseconds header_timeout{3'000};
+  milliseconds idle_timeout{15'000};
+  size_t connections = 2'000;
+};
+
+/// Listens at one address. Used from the io_context's thread alone.
+class http_service {
+ public:
+  using respond_function = std::function<void(http_answer)>;
+  using handler = std::function<void(const http_call&, respond_function)>;
+
+  /// `deadline_header` names the header of `http_call::deadline_ms`.
+  http_service(boost::asio::io_context& io, handler on_call,
+               std::string deadline_header = "");
+  ~http_service();
+
+  absl::Status listen(const std::string& address);
+  void set_limits(const http_limits& limits) { limits_ = limits; }
+  /// From now on connections end after their next answer.
+  void drain();
+  /// Requests that wait for their answer.
+  size_t under_way() const { return under_way_; }
+  void close();
+
+ private:
+  class session;
+  void accept();
+
+  boost::asio::io_context& io_;
+  handler on_call_;
+  std::string deadline_header_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  http_limits limits_;
+  std::set<std::shared_ptr<session>> sessions_;
+  bool draining_ = false;
+  size_t under_way_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/peer-mesh.cc
@@ -0,0 +1,272 @@
+#include "net/peer-mesh.h"
+
+#include <boost/asio/post.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "base/text.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+using boost::asio::ip::tcp;
+
+/// A connection that is not made by then is given up; a few round trips over
+/// the longest link, and below the least time of an election.
+constexpr milliseconds dial_limit{700};
+/// A lost connection is not dialled again before.
+constexpr milliseconds redial_after{100};
+/// Frames that wait while a connection is being made.
+constexpr size_t most_waiting = 256;
+/// How often calls are looked through for those that took too long.
+constexpr milliseconds sweep_interval{50};
+
+fleet::fleet_response failed(fleet::fleet_status status, std::string reason) {
+  fleet::fleet_response response;
+  response.set_status(status);
+  response.set_reason(std::move(reason));
+  return response;
+}
+
+}  // namespace detail
+
+struct peer_mesh::pending_call {
+  respond_function respond;
+  time_point deadline;
+};
+
+struct peer_mesh::link {
+  explicit link(boost::asio::io_context& io) : socket(io), timer(io) {}
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  stream_pointer stream;
+  bool dialling = false;
+  std::optional<time_point> lost_at;
+  std::vector<fleet::fleet_frame> waiting;
+  std::map<uint64_t, pending_call> calls;
+};
+
+peer_mesh::peer_mesh(boost::asio::io_context& io, clock_source& clock,
+                     box_id self, uint16_t port)
+    : io_(io),
+      clock_(clock),
+      self_(std::move(self)),
+      port_(port),
+      acceptor_(io),
+      sweep_timer_(io) {}
+
+peer_mesh::~peer_mesh() { close(); }
+
+absl::Status peer_mesh::listen() {
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(self_.str(), ec);
+  if (ec) return absl::InvalidArgumentError(str_cat(self_.str(), ": no IP"));
+  acceptor_.open(detail::tcp::v4(), ec);
+  if (!ec) acceptor_.set_option(detail::tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_.bind({address, port_}, ec);
+  if (!ec) acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return absl::UnavailableError(str_cat("cannot listen on ", self_.str(), ":",
+                                          port_, ": ", ec.message()));
+  }
+  accept();
+  return absl::OkStatus();
+}
+
+void peer_mesh::accept() {
+  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](
+                             boost::system::error_code ec,
+                             boost::asio::ip::tcp::socket socket) {
+    if (alive.expired() || ec == boost::asio::error::operation_aborted) return;
+    if (ec) {
+      log_event("mesh", log_level::warn, "accept-failed")
+          .with("error", ec.message());
+    } else {
+      adopt(std::move(socket));
+    }
+    accept();
+  });
+}
+
+void peer_mesh::adopt(boost::asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<frame_stream>(std::move(socket));
+  guests_.insert(stream);
+  const std::weak_ptr<frame_stream> weak = stream;
+  stream->start(
+      [this, weak](const fleet::fleet_frame& frame) {
+        const stream_pointer it = weak.lock();
+        if (!it) return;
+        if (!frame.has_request()) {
+          return handlers_.on_message(box_id(frame.from()), frame, it);
+        }
+        handlers_.on_request(
+            frame, [weak, call = frame.call()](fleet::fleet_response response) {
+              const stream_pointer to = weak.lock();
+              if (!to) return;
+              fleet::fleet_frame reply;
+              reply.set_call(call);
+              *reply.mutable_response() = std::move(response);
+              to->send(reply);
+            });
+      },
+      [this, weak, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) guests_.erase(weak.lock());
+      });
+}
+
+peer_mesh::link& peer_mesh::link_to(const box_id& to) {
+  auto& it = links_[to];
+  if (!it) it = std::make_unique<link>(io_);
+  return *it;
+}
+
+void peer_mesh::dial(const box_id& to, link& it) {
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(to.str(), ec);
+  if (ec) return lost(to);
+  it.dialling = true;
+  it.socket = boost::asio::ip::tcp::socket(io_);
+  it.socket.async_connect(
+      {address, port_},
+      [this, to, alive = std::weak_ptr(alive_)](boost::system::error_code e) {
+        if (!alive.expired()) dialled(to, e);
+      });
+  it.timer.expires_after(detail::dial_limit);
+  it.timer.async_wait([this, to, alive = std::weak_ptr(alive_)](
+                          boost::system::error_code e) {
+    if (e || alive.expired()) return;
+    boost::system::error_code closed;
+    link_to(to).socket.close(closed);
+  });
+}
+
+void peer_mesh::dialled(const box_id& to, boost::system::error_code ec) {
+  link& it = link_to(to);
+  it.timer.cancel();
+  it.dialling = false;
+  if (ec) return lost(to);
+  it.stream = std::make_shared<frame_stream>(std::move(it.socket));
+  it.stream->start(
+      [this, to](const fleet::fleet_frame& frame) { on_frame(to, frame); },
+      [this, to, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) lost(to);
+      });
+  std::vector<fleet::fleet_frame> waiting;
+  waiting.swap(it.waiting);
+  for (const fleet::fleet_frame& frame : waiting) it.stream->send(frame);
+}
+
+/// Calls whose request was never written were not taken.
+void peer_mesh::lost(const box_id& to) {
+  link& it = link_to(to);
+  const bool connected = it.stream != nullptr;
+  it.stream.reset();
+  it.lost_at = clock_.now();
+  it.waiting.clear();
+  std::map<uint64_t, pending_call> calls;
+  calls.swap(it.calls);
+  for (auto& [id, call] : calls) {
+    call.respond(connected ? detail::failed(fleet::fleet_unknown, "peer-lost")
+                           : detail::failed(fleet::fleet_unavailable,
+                                            "peer-unreachable"));
+  }
+  if (handlers_.on_lost) handlers_.on_lost(to);
+}
+
+void peer_mesh::on_frame(const box_id& from, const fleet::fleet_frame& frame) {
+  link& it = link_to(from);
+  if (!frame.has_response()) {
+    return handlers_.on_message(from, frame, it.stream);
+  }
+  const auto found = it.calls.find(frame.call());
+  if (found == it.calls.end()) return;
+  const respond_function respond = std::move(found->second.respond);
+  it.calls.erase(found);
+  respond(frame.response());
+}
+
+void peer_mesh::send(const box_id& to, fleet::fleet_frame frame) {
+  frame.set_from(self_.str());
+  link& it = link_to(to);
+  if (it.stream) return it.stream->send(frame);
+  if (!it.dialling) {
+    const bool wait =
+        it.lost_at && clock_.now() - *it.lost_at < detail::redial_after;
+    if (wait) return;
+    dial(to, it);
+  }
+  if (it.waiting.size() < detail::most_waiting) {
+    it.waiting.push_back(std::move(frame));
+  }
+}
+
+void peer_mesh::call(const box_id& to, const fleet::fleet_request& request,
+                     bool relayed, milliseconds limit,
+                     respond_function respond) {
+  link& it = link_to(to);
+  const bool down =
+      !it.stream && !it.dialling && it.lost_at &&
+      clock_.now() - *it.lost_at < detail::redial_after;
+  if (down) {
+    return boost::asio::post(io_, [respond = std::move(respond)] {
+      respond(detail::failed(fleet::fleet_unavailable, "peer-unreachable"));
+    });
+  }
+  const uint64_t id = next_call_++;
+  it.calls[id] = {std::move(respond), clock_.now() + limit};
+  fleet::fleet_frame frame;
+  frame.set_call(id);
+  frame.set_relayed(relayed);
+  *frame.mutable_request() = request;
+  send(to, std::move(frame));
+  if (!std::exchange(sweeping_, true)) sweep();
+}
+
+/// Runs only while calls are under way.
+void peer_mesh::sweep() {
+  sweep_timer_.expires_after(detail::sweep_interval);
+  sweep_timer_.async_wait([this, alive = std::weak_ptr(alive_)](
+                              boost::system::error_code ec) {
+    if (ec || alive.expired()) return;
+    std::vector<respond_function> late;
+    bool left = false;
+    for (auto& [box, it] : links_) {
+      std::erase_if(it->calls, [&](auto& p) {
+        if (p.second.deadline > clock_.now()) return false;
+        late.push_back(std::move(p.second.respond));
+        return true;
+      });
+      left = left || !it->calls.empty();
+    }
+    for (const auto& respond : late) {
+      respond(detail::failed(fleet::fleet_unknown, "no-answer-in-time"));
+    }
+    if (left || !late.empty()) return sweep();
+    sweeping_ = false;
+  });
+}
+
+void peer_mesh::tell_guests(const fleet::fleet_frame& frame) {
+  fleet::fleet_frame signed_frame = frame;
+  signed_frame.set_from(self_.str());
+  const auto guests = guests_;
+  for (const stream_pointer& it : guests) it->send(signed_frame);
+}
+
+void peer_mesh::close() {
+  alive_.reset();
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+  sweep_timer_.cancel();
+  for (auto& [box, it] : links_) {
+    it->timer.cancel();
+    it->socket.close(ec);
+    if (it->stream) it->stream->close();
+  }
+  const auto guests = std::exchange(guests_, {});
+  for (const stream_pointer& it : guests) it->close();
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/net/peer-mesh.h
@@ -0,0 +1,82 @@
+// Messages and calls between the boxes of a seeded deployment, whose boxes are
+// named by their IP numbers and listen on the same port.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "base/clock.h"
+#include "base/ids.h"
+#include "net/frame-stream.h"
+
+namespace kestrelreel {
+
+/// Connects on demand, one connection to each box. Messages may be lost; a
+/// call is answered exactly once.
+class peer_mesh {
+ public:
+  using respond_function = std::function<void(fleet::fleet_response)>;
+  /// What a frame came by; a hello may be answered on it.
+  using stream_pointer = std::shared_ptr<frame_stream>;
+
+  /// What the owner does with what comes in.
+  struct handlers {
+    std::function<void(const box_id& from, const fleet::fleet_frame&,
+                       const stream_pointer&)>
+        on_message;
+    std::function<void(const fleet::fleet_frame&, respond_function)> on_request;
+    /// The connection to that box could not be made or was lost.
+    std::function<void(const box_id&)> on_lost;
+  };
+
+  peer_mesh(boost::asio::io_context& io, clock_source& clock, box_id self,
+            uint16_t port);
+  ~peer_mesh();
+
+  void set_handlers(handlers it) { handlers_ = std::move(it); }
+  /// Takes connections of other boxes.
+  absl::Status listen();
+  /// Sends one way; dropped when the box can't be reached.
+  void send(const box_id& to, fleet::fleet_frame frame);
+  /// Asks; `unavailable` when nothing of the request can have been taken,
+  /// `unknown` when it may have been.
+  void call(const box_id& to, const fleet::fleet_request& request,
+            bool relayed, milliseconds limit, respond_function respond);
+  /// Sends to all boxes that are connected to this one by themselves.
+  void tell_guests(const fleet::fleet_frame& frame);
+  void close();
+
+ private:
+  struct link;
+  struct pending_call;
+  void accept();
+  void adopt(boost::asio::ip::tcp::socket socket);
+  link& link_to(const box_id& to);
+  void dial(const box_id& to, link& it);
+  void dialled(const box_id& to, boost::system::error_code ec);
+  void lost(const box_id& to);
+  void on_frame(const box_id& from, const fleet::fleet_frame& frame);
+  void sweep();
+
+  boost::asio::io_context& io_;
+  clock_source& clock_;
+  box_id self_;
+  uint16_t port_;
+  handlers handlers_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweep_timer_;
+  std::map<box_id, std::unique_ptr<link>> links_;
+  std::set<stream_pointer> guests_;
+  uint64_t next_call_ = 1;
+  bool sweeping_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace kestrelreel
