Interference between images learned online; serving tasks of one image kept together

Found by a trial with all paces at 100: the readings fit headroom = target/tail falling linearly with the use of fill tasks, per pair of images (0 to 0.29 a processor); two of five serving images bear all. Ruled out: levels as the regression's input (own load swings the headroom by 1.4, estimates stayed at the guess); changes over half a second have 0.5. Change: a Kalman filter for each serving image over changes; paces for each fill task by the costs of its own neighbours; serving tasks placed by image.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -212,13 +212,15 @@
     const fleet::step_spec* step = book_.find_step(run.task);
     if (step == nullptr || !step->fills()) continue;
     const auto told = it.paces.find(run);
-    if (told == it.paces.end() && it.pace == full_pace) continue;
-    if (told != it.paces.end() && told->second == it.pace) continue;
-    it.paces[run] = it.pace;
+    const auto wanted = it.pace.find(run);
+    if (wanted == it.pace.end()) continue;
+    if (told == it.paces.end() && wanted->second == full_pace) continue;
+    if (told != it.paces.end() && told->second == wanted->second) continue;
+    it.paces[run] = wanted->second;
     fleet::pace_order& pace = *orders.add_paces();
     *pace.mutable_task() = to_ref(run.task);
     pace.set_run(static_cast<uint32_t>(run.run.value()));
-    pace.set_percent(it.pace);
+    pace.set_percent(wanted->second);
   }
   std::erase_if(it.paces,
                 [&](const auto& p) { return !it.rows.contains(p.first); });
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -11,6 +11,10 @@
 constexpr double rack_bonus = 1e6;
 /// Tasks of one step on one worker are lost together.
 constexpr double crowd_cost = 4'000;
+/// Serving tasks of one image bear the same fill tasks: kept together, they
+/// leave whole workers to fill tasks that others would suffer from. Above any
+/// room that is left over.
+constexpr double image_bonus = 100'000;
 
 /// The longest chain of the estimates, in ms.
 uint64_t longest_chain(const fleet::fleet_job_spec& spec) {
@@ -37,7 +41,11 @@
 void worker_load::add(const task_key& task, const fleet::step_spec& step) {
   if (step.fills()) fill_cpu += step.cpu_milli();
   if (!step.fills()) cpu += step.cpu_milli();
-  if (step.target_ms() > 0) serving_cpu += step.cpu_milli();
+  if (step.target_ms() > 0) {
+    serving_cpu += step.cpu_milli();
+    ++serving[step.image()];
+  }
+  if (step.fills()) fills[step.image()] += step.cpu_milli();
   memory_mb += step.memory_mb();
   accelerators += step.accelerators();
   ++steps[{task.job, task.time, task.step, 0}];
@@ -190,7 +198,7 @@
   const auto capacity = static_cast<int64_t>(it.view->beat.cpu_milli());
   return capacity - use(it.load.cpu - it.load.serving_cpu, detail::percent) -
          use(it.load.serving_cpu, settings_.serving_use_percent) -
-         use(it.load.fill_cpu, it.view->pace);
+         use(it.load.fill_cpu, detail::percent);
 }
 
 bool fleet_scheduler::fits(const candidate& it,
@@ -203,7 +211,21 @@
   if (!spec.fills()) return it.load.cpu + spec.cpu_milli() <= room.cpu_milli();
   const auto wanted = static_cast<int64_t>(
       spec.cpu_milli() * settings_.fill_share_percent / detail::percent);
-  return it.view->pace > 0 && left_over(it) >= wanted;
+  return left_over(it) >= wanted;
+}
+
+/// 1 on a worker that serves only with this image, 0 on one that does not
+/// serve, and less than 0 the more it serves with others.
+double fleet_scheduler::alike(const candidate& it,
+                              const fleet::step_spec& spec) const {
+  uint32_t same = 0;
+  uint32_t all = 0;
+  for (const auto& [image, n] : it.load.serving) {
+    all += n;
+    if (image == spec.image()) same = n;
+  }
+  if (all == 0) return 0;
+  return same == all ? 1 : -static_cast<double>(all - same) / all;
 }
 
 double fleet_scheduler::score(const candidate& it, const task_key& task,
@@ -215,7 +237,8 @@
   if (!rack.empty() && has_label(it.view->beat, rack)) {
     score += detail::rack_bonus;
   }
-  if (spec.fills()) score *= it.view->pace / double{detail::percent};
+  if (spec.fills()) score *= expected_share(it, spec);
+  if (spec.target_ms() > 0) score += detail::image_bonus * alike(it, spec);
   return score;
 }
 
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/interference.h"
 #include "fleet/job-book.h"
 #include "fleet/worker-table.h"
 
@@ -22,6 +23,9 @@
   uint64_t accelerators = 0;
   /// Tasks by job, time and step.
   std::map<task_key, uint32_t> steps;
+  /// Serving tasks by image, and the processors of fill tasks by image.
+  std::map<std::string, uint32_t> serving;
+  std::map<std::string, uint64_t> fills;
 
   void add(const task_key& task, const fleet::step_spec& step);
 };
@@ -53,8 +57,8 @@
   fleet::run_starts plan(uint64_t wall_ms);
   /// What is taken of the worker.
   worker_load load_of(const worker_view& it) const;
-  /// Sets the pace of the fill tasks by the readings of the serving ones.
-  void pace(worker_view& it) const;
+  /// Learns from a heartbeat's readings and sets the pace of its fill tasks.
+  void pace(worker_view& it);
   /// Forgets what belongs to a job that is over.
   void forget(job_number job) { accepted_.erase(job); }
 
@@ -63,6 +67,19 @@
     worker_view* view;
     worker_load load;
   };
+  struct serving_task {
+    run_key run;
+    const fleet::step_spec* step;
+    double headroom;
+  };
+  struct fill_task {
+    run_key run;
+    const fleet::step_spec* step;
+    // Processors used by the reading, and at full pace, as of `fill_use`.
+    double use;
+    double full_use;
+    double share;
+  };
   struct waiting_job {
     uint32_t priority;
     time_point deadline;
@@ -93,7 +110,16 @@
   bool fits(const candidate& it, const fleet::step_spec& spec) const;
   double score(const candidate& it, const task_key& task,
                const fleet::step_spec& spec) const;
+  double alike(const candidate& it, const fleet::step_spec& spec) const;
   int64_t left_over(const candidate& it) const;
+  // Pacing: pacing.cc.
+  std::vector<serving_task> serving_tasks(const worker_view& it) const;
+  std::vector<fill_task> fill_tasks(const worker_view& it) const;
+  void learn(worker_view& it, const serving_task& task,
+             const std::map<std::string, double>& use);
+  void hold_back(const serving_task& task, std::vector<fill_task>& fills);
+  double expected_share(const candidate& it,
+                        const fleet::step_spec& spec) const;
   void undo(std::vector<placement>& placed, const fleet::step_spec& spec);
   bool is_proposed(const task_key& task) const;
 
@@ -101,6 +127,7 @@
   const job_book& book_;
   worker_table& workers_;
   clock_source& clock_;
+  interference_model model_;
   std::map<job_number, time_point> accepted_;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -34,6 +34,13 @@
 /// All of a task's work, in percent.
 constexpr unsigned full_pace = 100;
 
+/// A serving task's headroom, and what each fill image used beside it.
+struct headroom_reading {
+  time_point at{};
+  double headroom = 0;
+  std::map<std::string, double> use;
+};
+
 /// One life of a worker.
 struct worker_view {
   worker_id id;
@@ -51,9 +58,12 @@
   uint64_t end_proposed = 0;
   /// Starts proposed and not yet in the book.
   std::map<run_key, fleet::step_spec> proposed;
-  /// The share that fill tasks may work at, in percent, and what each was told.
-  unsigned pace = full_pace;
+  /// The share that each fill task may work at, in percent, and what it was
+  /// told.
+  std::map<run_key, unsigned> pace;
   std::map<run_key, unsigned> paces;
+  /// Readings of serving tasks, from which the next ones tell a change.
+  std::map<run_key, headroom_reading> headroom;
   /// Ends `failed` in a row, and of how many jobs.
   unsigned failures = 0;
   job_number failed_job;
