Entry boxes give a call up after a second

Ruled out: the wait for a leader (200 ms). Change: a call that a leader has not answered within a second is given up on.

--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -15,6 +15,10 @@
 /// objective that the users name (1,000 ms).
 constexpr milliseconds patience{200};
 constexpr milliseconds try_again_after{50};
+/// A leader answers within three syncs and two ways, some 50 ms, and within a
+/// second with a slow disk; one that takes longer is given up on, so that the
+/// caller learns it at once and asks again.
+constexpr milliseconds answer_limit{1'000};
 /// When a caller that found no leader may come back: about an election.
 constexpr milliseconds back_after{1'000};
 /// A box stays ready for so long without a leader: an election that goes well.
@@ -105,7 +109,8 @@
     none.set_reason("no-leader-in-reach");
     return try_later(it, std::move(none));
   }
-  const milliseconds left = std::max(it->deadline - now, milliseconds(1));
+  const milliseconds left =
+      std::clamp(it->deadline - now, milliseconds(1), detail::answer_limit);
   mesh_->call(target, it->request, false, left,
               [this, it, target](fleet::fleet_response response) {
                 const fleet::fleet_status status = response.status();
