Held back fill tasks that save their work wait for a better place

Change: only a share of 0.6 ends the time held back; after 3 s a task that saves its work is stopped without a place in sight, since waiting tasks are served in the order of their jobs' deadlines.

--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -42,6 +42,11 @@
 /// A place must let a moved task work at this share; the lower one after the
 /// longer wait.
 constexpr double good_share = 0.9;
+/// One that saves its work goes back to the waiting tasks after so long, even
+/// while there is no place: the oldest jobs get the next good one.
+constexpr milliseconds requeue_after{3'000};
+/// From this share on a task is no longer held back; short bursts do not count.
+constexpr double free_share = 0.6;
 constexpr double fair_share = 0.6;
 
 double reference_use(const fleet::worker_beat& beat, double cpu_milli) {
@@ -136,7 +141,7 @@
   for (const fill_task& fill : fills) {
     if (fill.share < detail::held_share) {
       it.held_since.try_emplace(fill.run, it.heard);
-    } else {
+    } else if (fill.share >= detail::free_share) {
       it.held_since.erase(fill.run);
     }
   }
@@ -179,8 +184,11 @@
       if (!may_move(it, run)) continue;
       if (all.empty()) all = candidates();
       candidate* place = better_place(it, run, all);
-      if (place == nullptr) continue;
-      place->load.add(run.task, *book_.find_step(run.task));
+      const fleet::step_spec& spec = *book_.find_step(run.task);
+      const bool requeue =
+          spec.saves_progress() && it.heard - since >= detail::requeue_after;
+      if (place == nullptr && !requeue) continue;
+      if (place != nullptr) place->load.add(run.task, spec);
       runs.push_back(run);
     }
   }
--- a/fleet/scheduler-test.cc
+++ b/fleet/scheduler-test.cc
@@ -181,6 +181,28 @@
   }
 }
 
+TEST(scheduler, held_back_fill_task_waits_for_a_place_if_it_saves_its_work) {
+  for (const bool saves : {true, false}) {
+    test_world fresh;
+    fresh.configure();
+    fresh.submit(7, {serving("s")});
+    fresh.beat("a");
+    fleet::step_spec step = fill("f");
+    step.set_saves_progress(saves);
+    fresh.submit(8, {step});
+    fresh.beat("a");
+    fleet::worker_beat& a = fresh.workers["a"];
+    bool stopped = false;
+    for (int beats = 0; beats < 30 && !stopped; ++beats) {
+      fresh.pass(milliseconds(200));
+      a.mutable_running(0)->set_reading(150);
+      a.mutable_running(1)->set_percent(50);
+      stopped = fresh.beat("a").stops_size() > 0;
+    }
+    CHECK_EQUAL(saves, stopped);
+  }
+}
+
 // Serving tasks with a swinging load beside fill tasks that come and go: the
 // costs of the pairs are found within a few hundred readings.
 TEST(scheduler, costs_of_pairs_are_learned) {
