--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -208,7 +208,7 @@
 void fleet_record_service::on_request(const fleet::fleet_frame& frame,
                                       respond_function respond) {
   if (controller_.leading() || frame.relayed()) {
-    controller_.request(frame.request(), std::move(respond));
+    controller_.request(frame.request(), respond);
     return settle_soon();
   }
   // The asker waits no longer than this for another box's answer.
@@ -221,7 +221,7 @@
   const std::string leader = leader_told();
   const bool here = leader.empty() || leader == context_.settings.box.str();
   if (here) {
-    controller_.request(request, std::move(respond));
+    controller_.request(request, respond);
     return settle_soon();
   }
   mesh_->call(box_id(leader), request, true, limit, std::move(respond));
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -281,7 +281,9 @@
 /// begun another life.
 void fleet_controller::review_silence() {
   const time_point now = clock_.now();
-  for (auto& [id, it] : workers_.views()) {
+  for (auto& entry : workers_.views()) {
+    const worker_id& id = entry.first;
+    worker_view& it = entry.second;
     if (losing_.contains(id)) continue;
     const auto& alive = book_.runs_on(id);
     const std::vector<run_key> runs(alive.begin(), alive.end());
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -32,7 +32,7 @@
       scheduler_(settings_.scheduling, book_, workers_, clock) {}
 
 void fleet_controller::request(const fleet::fleet_request& request,
-                               respond_function respond) {
+                               const respond_function& respond) {
   if (!leads_ || !log_.may_decide()) {
     return respond(make_response(fleet::fleet_unavailable, "no-leader"));
   }
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -67,7 +67,8 @@
                    fleet_log& log, metrics_registry& metrics);
 
   /// Answers once, at once or when the log has it.
-  void request(const fleet::fleet_request& request, respond_function respond);
+  void request(const fleet::fleet_request& request,
+               const respond_function& respond);
   /// A committed command, in order; on every replica.
   void applied(const fleet::fleet_command& command);
   /// The state of a snapshot replaces all; on every replica.
