A job of which nothing runs starts one task anywhere; planning costs less

Two changes that touch the same lines.

Cause: fill tasks start only where they are expected to work at half their pace; with costs learned fully, an image that disturbs every serving image finds no such worker, ever. Ruled out: memory (40 % taken) and the order of jobs (the others are over by then). Change: a job of which nothing has run for 0.8 s (the users allow 3 s) starts one fill task where it gets on best. Test, red before: fill_task_that_no_worker_bears_starts_all_the_same.

Grown sites: the leader uses up its 0.32 and 0.40 cores. Each plan, 66 a second, summed up the runs of 350 workers anew, and each task of a step looked at each of them. Now a worker's load is kept until its runs change, a step looks at each worker once and again only where it placed a task, and a step that found no room is tried again after 0.3 ms for each worker.

--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -98,7 +98,10 @@
 void job_book::load(const std::string& bytes) {
   fleet::fleet_snapshot in;
   in.ParseFromString(bytes);
+  // Versions go on rising, so that none of the earlier state's is met again.
+  const uint64_t next_version = next_version_;
   *this = job_book();
+  next_version_ = next_version + 1;
   if (in.has_config()) put_config(in.config());
   for (const fleet::saved_job& it : in.jobs()) load_job(it);
   for (const fleet::saved_worker& it : in.workers()) {
@@ -107,6 +110,7 @@
   for (const fleet::run_start& it : in.alive()) {
     runs_[worker_id(it.worker())].insert(
         {to_key(it.task()), run_number(it.run())});
+    runs_versions_[worker_id(it.worker())] = next_version_++;
   }
   next_order_ = in.next_order();
 }
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -42,6 +42,11 @@
   return it == runs_.end() ? none : it->second;
 }
 
+uint64_t job_book::runs_version(const worker_id& worker) const {
+  const auto it = runs_versions_.find(worker);
+  return it == runs_versions_.end() ? 0 : it->second;
+}
+
 uint64_t job_book::last_end(const worker_id& worker) const {
   const auto it = last_ends_.find(worker);
   return it == last_ends_.end() ? 0 : it->second;
@@ -146,6 +151,7 @@
   job.begun = true;
   job.phase = fleet::job_running;
   runs_[task->worker].insert(run);
+  runs_versions_[task->worker] = next_version_++;
 }
 
 job_book::result job_book::report(const fleet::worker_report& report) {
@@ -164,6 +170,7 @@
                      fleet::run_outcome outcome, const std::string& saved) {
   const auto found = runs_.find(worker);
   const bool held = found != runs_.end() && found->second.erase(run) > 0;
+  if (held) runs_versions_[worker] = next_version_++;
   if (held && found->second.empty()) runs_.erase(found);
   task_entry* task = find_task(run.task);
   if (task == nullptr) return;
@@ -186,27 +193,26 @@
   if (!saved.empty()) task->saved = saved;
   if (outcome == fleet::run_failed)
     return count_failure(job, step, *task, spec);
-  if (spec.gang()) close_gang(job, step, run.run, saved);
+  if (spec.gang()) save_gang(step, run.run, saved);
   if (outcome != fleet::run_done || spec.long_running()) return;
-  mark_done(job, step, *task);
+  mark_done(step, *task);
   // One member's good end stands for its whole gang.
   for (task_entry& it : step.tasks) {
-    if (spec.gang() && it.run == run.run) mark_done(job, step, it);
+    if (spec.gang() && it.run == run.run) mark_done(step, it);
   }
   finish_if_done(job);
 }
 
 /// A checkpoint of any member serves for all.
-void job_book::close_gang(job_entry& /*job*/, step_entry& step, run_number run,
-                          const std::string& saved) {
+void job_book::save_gang(step_entry& step, run_number run,
+                         const std::string& saved) {
   if (saved.empty()) return;
   for (task_entry& it : step.tasks) {
     if (it.run == run) it.saved = saved;
   }
 }
 
-void job_book::mark_done(job_entry& /*job*/, step_entry& step,
-                         task_entry& task) {
+void job_book::mark_done(step_entry& step, task_entry& task) {
   if (task.phase == task_phase::done) return;
   if (task.phase == task_phase::running) --step.running;
   task.phase = task_phase::done;
@@ -251,6 +257,7 @@
   const std::set<run_key> rest = runs_on(worker);
   for (const run_key& it : rest) close(worker, it, fleet::run_lapsed, "");
   last_ends_.erase(worker);
+  runs_versions_.erase(worker);
   return {};
 }
 
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -83,6 +83,9 @@
   /// Runs that may be alive on a worker.
   const std::set<run_key>& runs_on(const worker_id& worker) const;
   const std::map<worker_id, std::set<run_key>>& runs() const { return runs_; }
+  /// Changes with the runs on a worker, and with the book as a whole; 0 only
+  /// for a worker that never had any.
+  uint64_t runs_version(const worker_id& worker) const;
   /// Number of the last end of a worker that was recorded; 0 before any.
   uint64_t last_end(const worker_id& worker) const;
   const std::map<worker_id, uint64_t>& workers() const { return last_ends_; }
@@ -102,11 +105,11 @@
   void start_one(const fleet::run_start& it);
   void close(const worker_id& worker, const run_key& run,
              fleet::run_outcome outcome, const std::string& saved);
-  void mark_done(job_entry& job, step_entry& step, task_entry& task);
+  static void mark_done(step_entry& step, task_entry& task);
   void count_failure(job_entry& job, step_entry& step, task_entry& task,
                      const fleet::step_spec& spec);
-  void close_gang(job_entry& job, step_entry& step, run_number run,
-                  const std::string& saved);
+  static void save_gang(step_entry& step, run_number run,
+                        const std::string& saved);
   void finish(job_entry& job, fleet::job_phase phase);
   void finish_if_done(job_entry& job);
   void put_job(job_entry job);
@@ -119,6 +122,8 @@
   std::map<job_number, job_entry> jobs_;
   std::map<uint64_t, job_number> live_;
   std::map<worker_id, std::set<run_key>> runs_;
+  std::map<worker_id, uint64_t> runs_versions_;
+  uint64_t next_version_ = 1;
   std::map<worker_id, uint64_t> last_ends_;
   uint64_t next_order_ = 1;
 };
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -197,8 +197,15 @@
   const job_entry* job = book_.find(run.task.job);
   if (job == nullptr || !job->live()) return nullptr;
   const fleet::step_spec& spec = *book_.find_step(run.task);
-  const waiting_job asked{{}, run.task.job, job};
-  candidate* it = choose(asked, run.task, spec, "", all);
+  const std::string& pool = book_.queue_of(*job).pool();
+  candidate* it = nullptr;
+  double best = 0;
+  for (candidate& place : all) {
+    const auto value = value_of(pool, run.task, spec, place, false);
+    if (!value || (it != nullptr && *value <= best)) continue;
+    it = &place;
+    best = *value;
+  }
   if (it == nullptr || it->view == &from) return nullptr;
   const milliseconds held = from.heard - from.held_since.at(run);
   const double wanted = held >= detail::move_anyway_after ? detail::fair_share
--- a/fleet/scheduler-test.cc
+++ b/fleet/scheduler-test.cc
@@ -233,6 +233,24 @@
   }
 }
 
+// Seen on lsa-floodwatch trouble-2, seed 980434282933: images that no worker
+// bears never started.
+TEST(scheduler, fill_task_that_no_worker_bears_starts_all_the_same) {
+  world.configure();
+  world.submit(7, {serving("s")});
+  world.beat("a");
+  fleet::step_spec step = fill("f", 4'000);
+  step.set_count(3);
+  world.submit(8, {step});
+  LONGS_EQUAL(0, world.beat("a").starts_size());
+  int started = 0;
+  for (int i = 0; i < 10; ++i) {
+    world.pass(milliseconds(200));
+    started += world.beat("a").starts_size();
+  }
+  LONGS_EQUAL(1, started);
+}
+
 // Two fill tasks beside a serving one near its target, whose step has another
 // task elsewhere: the one that disturbs it is slowed, the other works on.
 TEST(scheduler, fill_task_that_costs_most_is_slowed_first) {
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -1,6 +1,8 @@
 #include "fleet/scheduler.h"
 
 #include <algorithm>
+#include <queue>
+#include <utility>
 
 namespace kestrelreel {
 namespace detail {
@@ -54,14 +56,39 @@
          now - it.heard < settings_.silent_limit;
 }
 
-std::vector<fleet_scheduler::candidate> fleet_scheduler::candidates() const {
+std::vector<fleet_scheduler::candidate> fleet_scheduler::candidates() {
   std::vector<candidate> all;
   for (auto& [id, it] : workers_.views()) {
-    if (is_usable(it)) all.push_back({&it, load_of(it)});
+    if (!is_usable(it)) continue;
+    const uint64_t version = book_.runs_version(id);
+    const bool same = it.load_version == version && it.proposed.empty() &&
+                      it.load_without_proposed;
+    if (!same) {
+      it.load = load_of(it);
+      it.load_version = version;
+      it.load_without_proposed = it.proposed.empty();
+    }
+    all.push_back({&it, it.load});
   }
   return all;
 }
 
+/// True when a task of the job could run and nothing of it has for long.
+bool fleet_scheduler::is_starved(job_number number, const job_entry& job) {
+  bool runs = false;
+  for (const auto& steps : job.times) {
+    runs = runs || std::any_of(steps.begin(), steps.end(),
+                               [](const auto& it) { return it.running > 0; });
+  }
+  if (runs) {
+    idle_since_.erase(number);
+    return false;
+  }
+  const time_point now = clock_.now();
+  const auto since = idle_since_.try_emplace(number, now).first->second;
+  return now - since >= settings_.starved_after;
+}
+
 std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
   const time_point now = clock_.now();
   std::vector<waiting_job> jobs;
@@ -76,8 +103,8 @@
     if (!waits) continue;
     const time_point accepted =
         accepted_.try_emplace(number, now).first->second;
-    jobs.push_back(
-        {order_of(job, book_.queue_of(job), accepted, now), number, &job});
+    jobs.push_back({order_of(job, book_.queue_of(job), accepted, now), number,
+                    &job, is_starved(number, job)});
   }
   std::stable_sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
     return a.order < b.order;
@@ -119,34 +146,56 @@
   return proposed_.contains(task);
 }
 
+/// The tasks of a step are alike: each worker is looked at once, and again
+/// when it got one of them.
 std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
     const waiting_job& job, uint32_t time, uint32_t step,
-    std::vector<candidate>& all, const std::string& rack) {
+    std::vector<candidate>& all) {
   const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
   const step_entry& entry = job.entry->times[time][step];
+  const std::string& pool = book_.queue_of(*job.entry).pool();
   run_number gang_run;
   for (const task_entry& it : entry.tasks) {
     gang_run = std::max(gang_run, it.run);
   }
+  // Of two alike the first is taken.
+  using ranked = std::pair<double, std::ptrdiff_t>;
+  std::priority_queue<ranked> best;
+  const auto rank = [&](size_t i) {
+    const auto value =
+        value_of(pool, {job.number, time, step, 0}, spec, all[i], job.starved);
+    if (value) best.emplace(*value, -static_cast<std::ptrdiff_t>(i));
+  };
+  for (size_t i = 0; i < all.size(); ++i) rank(i);
   std::vector<placement> placed;
-  for (uint32_t i = 0; i < entry.tasks.size(); ++i) {
+  for (uint32_t i = 0; i < entry.tasks.size() && !best.empty(); ++i) {
     const task_entry& task = entry.tasks[i];
     const task_key key{job.number, time, step, i};
     if (task.phase != task_phase::waiting || is_proposed(key)) continue;
-    candidate* where = choose(job, key, spec, rack, all);
-    if (where == nullptr) break;
-    where->load.add(key, spec);
-    placed.push_back({key, (spec.gang() ? gang_run : task.run).next(), where});
+    const auto where = static_cast<size_t>(-best.top().second);
+    best.pop();
+    all[where].load.add(key, spec);
+    rank(where);
+    const run_number run = spec.gang() ? gang_run : task.run;
+    placed.push_back({key, run.next(), &all[where]});
+    if (job.starved && spec.fills() && !spec.gang()) break;
   }
   return placed;
 }
 
-void fleet_scheduler::undo(std::vector<placement>& placed,
-                           const fleet::step_spec& /*spec*/) {
+void fleet_scheduler::undo(const std::vector<placement>& placed) {
   for (const placement& it : placed) {
     it.where->load = load_of(*it.where->view);
   }
-  placed.clear();
+}
+
+/// A step that found no room is left alone for a while.
+bool fleet_scheduler::may_try(const task_key& step) {
+  const auto it = try_again_.find(step);
+  if (it == try_again_.end()) return true;
+  if (clock_.now() < it->second) return false;
+  try_again_.erase(it);
+  return true;
 }
 
 void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
@@ -156,9 +205,17 @@
   const step_entry& entry = job.entry->times[time][step];
   // A gang starts whole: none of an earlier run may be alive any more.
   if (spec.gang() && entry.running > 0) return;
-  std::vector<placement> placed = place_tasks(job, time, step, all, "");
+  const task_key first{job.number, time, step, 0};
+  if (!may_try(first)) return;
+  const std::vector<placement> placed = place_tasks(job, time, step, all);
   const size_t wanted = entry.tasks.size() - entry.done;
-  if (spec.gang() && placed.size() < wanted) return undo(placed, spec);
+  if (placed.size() < wanted - entry.running) {
+    const auto pause = std::chrono::duration_cast<milliseconds>(
+        settings_.retry_per_worker * all.size());
+    try_again_[first] = clock_.now() + pause;
+  }
+  if (spec.gang() && placed.size() < wanted) return undo(placed);
+  if (!placed.empty()) idle_since_.erase(job.number);
   for (const placement& it : placed) {
     proposed_[it.task] = it.where->view->id;
     it.where->view->proposed[{it.task, it.run}] = spec;
@@ -179,14 +236,20 @@
          use(it.load.fill_cpu, detail::percent);
 }
 
-bool fleet_scheduler::fits(const candidate& it,
-                           const fleet::step_spec& spec) const {
+bool fleet_scheduler::fits(const candidate& it, const fleet::step_spec& spec,
+                           bool starved) const {
   const fleet::worker_beat& room = it.view->beat;
   if (it.load.memory_mb + spec.memory_mb() > room.memory_mb()) return false;
   if (it.load.accelerators + spec.accelerators() > room.accelerators()) {
     return false;
   }
   if (!spec.fills()) return it.load.cpu + spec.cpu_milli() <= room.cpu_milli();
+  return starved || bears(it, spec);
+}
+
+/// True where a fill task would get on.
+bool fleet_scheduler::bears(const candidate& it,
+                            const fleet::step_spec& spec) const {
   const auto unfit = it.view->unfit_until.find(spec.image());
   if (unfit != it.view->unfit_until.end() && unfit->second > clock_.now()) {
     return false;
@@ -233,32 +296,25 @@
   return score;
 }
 
-fleet_scheduler::candidate* fleet_scheduler::choose(
-    const waiting_job& job, const task_key& task, const fleet::step_spec& spec,
-    const std::string& rack, std::vector<candidate>& all) const {
-  const std::string& pool = book_.queue_of(*job.entry).pool();
-  candidate* best = nullptr;
-  double best_score = 0;
-  for (candidate& it : all) {
-    const fleet::worker_beat& beat = it.view->beat;
-    if (beat.pool() != pool || !fits(it, spec)) continue;
-    if (!spec.requires_label().empty() &&
-        !has_label(beat, spec.requires_label())) {
-      continue;
-    }
-    if (!rack.empty() && !has_label(beat, rack)) continue;
-    if (spec.anti_affinity() > 0) {
-      const auto n = it.load.steps.find({task.job, task.time, task.step, 0});
-      if (n != it.load.steps.end() && n->second >= spec.anti_affinity()) {
-        continue;
-      }
+/// How well a task would stand on a worker; none where it must not run.
+std::optional<double> fleet_scheduler::value_of(const std::string& pool,
+                                                const task_key& task,
+                                                const fleet::step_spec& spec,
+                                                const candidate& it,
+                                                bool starved) const {
+  const fleet::worker_beat& beat = it.view->beat;
+  if (beat.pool() != pool || !fits(it, spec, starved)) return std::nullopt;
+  if (!spec.requires_label().empty() &&
+      !has_label(beat, spec.requires_label())) {
+    return std::nullopt;
+  }
+  if (spec.anti_affinity() > 0) {
+    const auto n = it.load.steps.find({task.job, task.time, task.step, 0});
+    if (n != it.load.steps.end() && n->second >= spec.anti_affinity()) {
+      return std::nullopt;
     }
-    const double value = score(it, task, spec);
-    if (best != nullptr && value <= best_score) continue;
-    best = &it;
-    best_score = value;
   }
-  return best;
+  return score(it, task, spec);
 }
 
 }  // namespace kestrelreel
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -1,7 +1,9 @@
 // Which waiting task starts on which worker, and how hard fill tasks may work.
 #pragma once
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,13 @@
   double least_target_cores = 3;
   double most_target_cores = 12;
   unsigned late_percent = 15;
+  /// A job of which nothing has run for so long starts one fill task wherever
+  /// it has room, even if it will hardly get on: the users allow 3 s.
+  milliseconds starved_after{800};
+  /// A step that found no room is tried again after so much for each worker:
+  /// looking through a worker takes 1 to 2 us, and a leader of 0.32 cores
+  /// should not spend more than some hundredths of it on steps that wait.
+  std::chrono::microseconds retry_per_worker{300};
   /// A worker silent for longer gets no new work; two heartbeat intervals.
   milliseconds silent_limit{3'000};
   /// Failed ends in a row, of at least two jobs, after which a worker is
@@ -90,6 +99,8 @@
     job_order order;
     job_number number;
     const job_entry* entry;
+    // Nothing of it has run for long: one task starts wherever it can.
+    bool starved;
   };
   struct placement {
     task_key task;
@@ -98,19 +109,23 @@
   };
 
   std::vector<waiting_job> waiting_jobs();
-  std::vector<candidate> candidates() const;
+  std::vector<candidate> candidates();
   bool is_usable(const worker_view& it) const;
   void plan_job(const waiting_job& job, uint64_t wall_ms,
                 std::vector<candidate>& all, fleet::run_starts& out);
   void plan_step(const waiting_job& job, uint32_t time, uint32_t step,
                  std::vector<candidate>& all, fleet::run_starts& out);
   std::vector<placement> place_tasks(const waiting_job& job, uint32_t time,
-                                     uint32_t step, std::vector<candidate>& all,
-                                     const std::string& rack);
-  candidate* choose(const waiting_job& job, const task_key& task,
-                    const fleet::step_spec& spec, const std::string& rack,
-                    std::vector<candidate>& all) const;
-  bool fits(const candidate& it, const fleet::step_spec& spec) const;
+                                     uint32_t step,
+                                     std::vector<candidate>& all);
+  std::optional<double> value_of(const std::string& pool, const task_key& task,
+                                 const fleet::step_spec& spec,
+                                 const candidate& it, bool starved) const;
+  bool is_starved(job_number number, const job_entry& job);
+  bool may_try(const task_key& step);
+  bool fits(const candidate& it, const fleet::step_spec& spec,
+            bool starved) const;
+  bool bears(const candidate& it, const fleet::step_spec& spec) const;
   double score(const candidate& it, const task_key& task,
                const fleet::step_spec& spec) const;
   double alike(const candidate& it, const fleet::step_spec& spec) const;
@@ -134,7 +149,7 @@
   bool bears_all(const candidate& it) const;
   double expected_share(const candidate& it,
                         const fleet::step_spec& spec) const;
-  void undo(std::vector<placement>& placed, const fleet::step_spec& spec);
+  void undo(const std::vector<placement>& placed);
   bool is_proposed(const task_key& task) const;
 
   scheduler_settings settings_;
@@ -147,6 +162,10 @@
   // Of serving steps, by the key of their first task.
   std::map<task_key, load_forecast> forecasts_;
   std::map<job_number, time_point> accepted_;
+  // Since when jobs wait without anything running.
+  std::map<job_number, time_point> idle_since_;
+  // When a step that found no room is tried again, by its first task.
+  std::map<task_key, time_point> try_again_;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
 };
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "fleet/task-key.h"
+#include "fleet/worker-load.h"
 #include "proto/fleet.pb.h"
 
 namespace kestrelreel {
@@ -51,6 +52,11 @@
   uint64_t end_proposed = 0;
   /// Starts proposed and not yet in the book.
   std::map<run_key, fleet::step_spec> proposed;
+  /// What is taken of it, as of that version of its runs in the book; kept
+  /// only without proposed starts.
+  worker_load load;
+  uint64_t load_version = 0;
+  bool load_without_proposed = false;
   /// The share that each fill task may work at, in percent, and what it was
   /// told.
   std::map<run_key, unsigned> pace;
