What the scheduler keeps of a job goes with the job; table of what binds

Cause: read as a newcomer, `forget` left the notes on waiting without running and on the next try behind, so that a leader of months would grow.

Test: none that fails without it; the maps are inside the scheduler.

--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -44,12 +44,12 @@
 /// A place must let a moved task work at this share; the lower one after the
 /// longer wait.
 constexpr double good_share = 0.9;
+constexpr double fair_share = 0.6;
 /// One that saves its work goes back to the waiting tasks after so long, even
 /// while there is no place: the oldest jobs get the next good one.
 constexpr milliseconds requeue_after{6'000};
 /// From this share on a task is no longer held back; short bursts do not count.
 constexpr double free_share = 0.6;
-constexpr double fair_share = 0.6;
 
 task_key step_key(const task_key& task) {
   return {task.job, task.time, task.step, 0};
@@ -68,7 +68,7 @@
   std::vector<serving_task> all;
   for (const auto& [run, row] : it.rows) {
     const fleet::step_spec* step = book_.find_step(run.task);
-    // A task that is not whole yet is starting.
+    // Below 100 percent the task is still starting and tells nothing yet.
     if (step == nullptr || step->target_ms() <= 0 || row.reading() <= 0 ||
         row.percent() < full_pace) {
       continue;
@@ -335,7 +335,10 @@
 
 void fleet_scheduler::forget(job_number job) {
   accepted_.erase(job);
-  std::erase_if(forecasts_, [&](const auto& p) { return p.first.job == job; });
+  idle_since_.erase(job);
+  const auto of_job = [&](const auto& p) { return p.first.job == job; };
+  std::erase_if(forecasts_, of_job);
+  std::erase_if(try_again_, of_job);
 }
 
 }  // namespace kestrelreel
