Serving tasks that waited 4.5 s go before short jobs

Short jobs that can be in time go before serving ones, and take each place that is large enough as it becomes free.

Change: a serving job of which tasks have waited for 4.5 s stands with the jobs that can be in time, by when it began to wait. The users bear 6 s and 3 s more.

Test: serving_task_that_waited_long_goes_first, red without the change.

--- a/fleet/job-order-test.cc
+++ b/fleet/job-order-test.cc
@@ -81,3 +81,26 @@
   LONGS_EQUAL(1, orders.starts_size());
   LONGS_EQUAL(3, orders.starts(0).task().job());
 }
+
+// Seen on lsa-floodwatch-grown mix, seed 246231979598: short jobs took each
+// place as it became free, and a serving task waited for 9 s.
+TEST(job_order, serving_task_that_waited_long_goes_first) {
+  for (const int waited_ms : {1'000, 5'000}) {
+    test_world world;
+    world.configure();
+    world.submit(1, {test_world::make_step(1, 4'000)});
+    world.beat("a");
+    fleet::step_spec serving = test_world::make_step(1, 4'000);
+    serving.set_long_running(true);
+    world.submit(2, {serving});
+    for (int passed = 0; passed < waited_ms; passed += 500) {
+      world.pass(milliseconds(500));
+      world.beat("a");
+    }
+    world.submit(3, {test_world::make_step(1, 4'000)});
+    world.end("a", to_ref({job_number(1), 0, 0, 0}), 1, fleet::run_done);
+    const fleet::worker_orders orders = world.beat("a");
+    LONGS_EQUAL(1, orders.starts_size());
+    LONGS_EQUAL(waited_ms < 2'000 ? 3 : 2, orders.starts(0).task().job());
+  }
+}
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -336,6 +336,7 @@
 void fleet_scheduler::forget(job_number job) {
   accepted_.erase(job);
   idle_since_.erase(job);
+  waits_since_.erase(job);
   const auto of_job = [&](const auto& p) { return p.first.job == job; };
   std::erase_if(forecasts_, of_job);
   std::erase_if(try_again_, of_job);
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -89,8 +89,19 @@
   return now - since >= settings_.starved_after;
 }
 
-std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
+job_order fleet_scheduler::order_now(job_number number, const job_entry& job) {
   const time_point now = clock_.now();
+  const time_point accepted = accepted_.try_emplace(number, now).first->second;
+  job_order order = order_of(job, book_.queue_of(job), accepted, now);
+  if (order.standing != job_standing::lasting) return order;
+  const time_point since = waits_since_.try_emplace(number, now).first->second;
+  if (now - since < settings_.lasting_first_after) return order;
+  order.standing = job_standing::in_time;
+  order.deadline = since;
+  return order;
+}
+
+std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
   std::vector<waiting_job> jobs;
   for (const auto& [order, number] : book_.live()) {
     const job_entry& job = *book_.find(number);
@@ -100,11 +111,12 @@
             return it.done + it.running < it.tasks.size();
           });
         });
-    if (!waits) continue;
-    const time_point accepted =
-        accepted_.try_emplace(number, now).first->second;
-    jobs.push_back({order_of(job, book_.queue_of(job), accepted, now), number,
-                    &job, is_starved(number, job)});
+    if (!waits) {
+      waits_since_.erase(number);
+      continue;
+    }
+    jobs.push_back(
+        {order_now(number, job), number, &job, is_starved(number, job)});
   }
   std::stable_sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
     return a.order < b.order;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -36,6 +36,9 @@
   /// A job of which nothing has run for so long starts one fill task wherever
   /// it has room, even if it will hardly get on: the users allow 3 s.
   milliseconds starved_after{800};
+  /// A lasting job of which tasks have waited for so long goes before the short
+  /// ones of its priority: the users bear 6 s and 3 s more where there is room.
+  milliseconds lasting_first_after{4'500};
   /// A step that found no room is tried again after so much for each worker:
   /// looking through a worker takes 1 to 2 us, and a leader of 0.32 cores
   /// should not spend more than some hundredths of it on steps that wait.
@@ -122,6 +125,7 @@
                                  const fleet::step_spec& spec,
                                  const candidate& it, bool starved) const;
   bool is_starved(job_number number, const job_entry& job);
+  job_order order_now(job_number number, const job_entry& job);
   bool may_try(const task_key& step);
   bool fits(const candidate& it, const fleet::step_spec& spec,
             bool starved) const;
@@ -162,6 +166,8 @@
   // Of serving steps, by the key of their first task.
   std::map<task_key, load_forecast> forecasts_;
   std::map<job_number, time_point> accepted_;
+  // Since when lasting jobs have had tasks that wait.
+  std::map<job_number, time_point> waits_since_;
   // Since when jobs wait without anything running.
   std::map<job_number, time_point> idle_since_;
   // When a step that found no room is tried again, by its first task.
