--- a/base/ids.h
+++ b/base/ids.h
@@ -70,3 +70,10 @@
     return std::hash<std::string>()(name.str());
   }
 };
+
+template <typename Tag>
+struct std::hash<kestrelreel::strong_count<Tag>> {
+  size_t operator()(kestrelreel::strong_count<Tag> n) const noexcept {
+    return std::hash<uint64_t>()(n.value());
+  }
+};
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -1,5 +1,9 @@
 // The leader and the workers: heartbeats in, orders out.
 #include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "base/text.h"
@@ -32,13 +36,47 @@
 /// A run ordered so long ago, and not there, never will be: covers the time
 /// after which a worker drops an answer, and the way of its next heartbeat.
 constexpr milliseconds order_margin{500};
+/// Such runs are looked for with a pause of so much for each worker: a look at
+/// a worker's runs takes 2 us.
+constexpr std::chrono::microseconds unstarted_pause{400};
 /// How long a worker that fails what it starts is avoided at first.
 constexpr milliseconds first_avoidance{2'000};
 constexpr unsigned most_doublings = 3;
 
-bool same_place(const fleet::worker_beat& a, const fleet::worker_beat& b) {
-  if (!a.machine().empty() && a.machine() == b.machine()) return true;
-  return !a.address().empty() && a.address() == b.address();
+/// Workers by the machine and by the address that they name.
+using place_index =
+    std::unordered_multimap<std::string_view, const worker_view*>;
+
+place_index make_place_index(const std::map<worker_id, worker_view>& views) {
+  place_index index;
+  for (const auto& [id, it] : views) {
+    if (!it.beat.machine().empty()) index.emplace(it.beat.machine(), &it);
+    if (!it.beat.address().empty()) index.emplace(it.beat.address(), &it);
+  }
+  return index;
+}
+
+/// True when `o` shows that the life of `it`, at the same place, is over: a
+/// heartbeat of an earlier life may arrive after the next one began, even
+/// several at once after a cut. Only a worker that has called for a while, by
+/// our clock and by its own, and since the other fell silent, lives.
+bool outlives(const worker_view& o, const worker_view& it) {
+  const milliseconds own_clock(
+      static_cast<int64_t>(o.beat.clock_ms() - o.first_clock_ms));
+  return o.id != it.id && o.told > it.told && o.first_told > it.first_told &&
+         o.told - std::max(o.first_told, it.told) >= sure_life &&
+         own_clock >= sure_life;
+}
+
+bool is_replaced(const place_index& index, const worker_view& it) {
+  for (const std::string& place : {it.beat.machine(), it.beat.address()}) {
+    const auto [first, last] = index.equal_range(place);
+    const bool found = std::any_of(first, last, [&](const auto& other) {
+      return outlives(*other.second, it);
+    });
+    if (found) return true;
+  }
+  return false;
 }
 
 }  // namespace detail
@@ -65,10 +103,19 @@
   }
   it->respond = respond;
   it->asked = clock_.now();
-  scheduler_.pace(*it);
+  pace_if_due(*it);
   unsettled_ = true;
 }
 
+void fleet_controller::pace_if_due(worker_view& it) {
+  constexpr uint64_t ms_per_s = 1'000;
+  const milliseconds every(static_cast<int64_t>(
+      workers_.views().size() * ms_per_s / settings_.paces_per_s));
+  if (it.heard - it.paced_at < every) return;
+  it.paced_at = it.heard;
+  scheduler_.pace(it);
+}
+
 void fleet_controller::take_ends(worker_view& it) {
   const uint64_t known = std::max(book_.last_end(it.id), it.end_proposed);
   fleet::fleet_command command;
@@ -311,37 +358,20 @@
   return clock_.now() < behind_until_;
 }
 
-/// True when the machine of a silent worker lives on under another identity.
-/// A heartbeat of an earlier life may arrive after the next one began, even
-/// several at once after a cut: only a worker that has called for a while, by
-/// our clock and by its own, and since the other fell silent, lives.
-bool fleet_controller::is_replaced(const worker_view& it) const {
-  const auto& views = workers_.views();
-  return std::any_of(views.begin(), views.end(), [&](const auto& other) {
-    const worker_view& o = other.second;
-    if (o.id == it.id || !o.known || !detail::same_place(o.beat, it.beat)) {
-      return false;
-    }
-    const milliseconds own_clock(
-        static_cast<int64_t>(o.beat.clock_ms() - o.first_clock_ms));
-    return o.told > it.told && o.first_told > it.first_told &&
-           o.told - std::max(o.first_told, it.told) >= detail::sure_life &&
-           own_clock >= detail::sure_life;
-  });
-}
-
 /// Gives up on what runs at workers whose lease is over, or whose machine has
 /// begun another life.
 void fleet_controller::review_silence() {
   if (is_behind()) return;
   const time_point now = clock_.now();
+  std::optional<detail::place_index> places;
   for (auto& entry : workers_.views()) {
     const worker_id& id = entry.first;
     worker_view& it = entry.second;
     if (now - it.told < detail::dead_after || losing_.contains(id)) continue;
     const auto& alive = book_.runs_on(id);
     const bool over = now >= it.over_at;
-    const bool gone = (it.known && is_replaced(it)) ||
+    if (!places) places = detail::make_place_index(workers_.views());
+    const bool gone = (it.known && detail::is_replaced(*places, it)) ||
                       now >= it.over_at + detail::forget_worker_after;
     if (!gone && (!over || alive.empty())) continue;
     propose_loss(it, {alive.begin(), alive.end()}, gone);
@@ -366,11 +396,24 @@
   if (!over.empty()) propose_loss(it, over, false);
 }
 
+void fleet_controller::review_all_unstarted() {
+  const time_point now = clock_.now();
+  const auto pause = detail::unstarted_pause * workers_.views().size();
+  if (now - unstarted_reviewed_at_ < pause) return;
+  unstarted_reviewed_at_ = now;
+  for (auto& [id, it] : workers_.views()) review_unstarted(it);
+}
+
 void fleet_controller::applied_starts(const fleet::run_starts& starts) {
   for (const fleet::run_start& it : starts.starts()) {
     worker_view* view = workers_.find(worker_id(it.worker()));
     if (view == nullptr) continue;
-    view->proposed.erase({to_key(it.task()), run_number(it.run())});
+    const run_key run{to_key(it.task()), run_number(it.run())};
+    // What was counted as proposed counts on, unless the book left it out.
+    const bool counted = view->proposed.erase(run) > 0;
+    if (!counted || !book_.runs_on(view->id).contains(run)) {
+      view->load_is_old = true;
+    }
   }
 }
 
@@ -386,11 +429,7 @@
   const time_point now = clock_.now();
   if (now - forgotten_at_ < detail::forget_interval) return;
   forgotten_at_ = now;
-  std::set<job_number> alive;
-  for (const auto& [worker, runs] : book_.runs()) {
-    for (const run_key& it : runs) alive.insert(it.task.job);
-  }
-  fleet::fleet_command command;
+  std::set<job_number> due;
   for (const auto& [number, job] : book_.jobs()) {
     if (job.live()) continue;
     const auto [seen, fresh] = over_since_.try_emplace(number, now);
@@ -400,7 +439,14 @@
           .with("phase", fleet::job_phase_Name(job.phase));
     }
     const time_point since = seen->second;
-    if (now - since < settings_.keep_jobs || alive.contains(number)) continue;
+    if (now - since >= settings_.keep_jobs) due.insert(number);
+  }
+  if (due.empty()) return;
+  for (const auto& [worker, runs] : book_.runs()) {
+    for (const run_key& it : runs) due.erase(it.task.job);
+  }
+  fleet::fleet_command command;
+  for (const job_number number : due) {
     command.mutable_forget()->add_jobs(number.value());
     scheduler_.forget(number);
     over_since_.erase(number);
@@ -427,7 +473,7 @@
   review_silence();
   move_held();
   scheduler_.weigh_fill_work();
-  for (auto& [id, it] : workers_.views()) review_unstarted(it);
+  review_all_unstarted();
   forget_old_jobs();
   settle();
 }
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -248,7 +248,9 @@
 void fleet_controller::apply_one(const fleet::fleet_command& command) {
   const job_book::result result = book_.apply(command);
   if (command.has_starts()) applied_starts(command.starts());
+  if (command.has_report()) runs_changed(command.report().worker());
   if (command.has_loss()) {
+    runs_changed(command.loss().worker());
     losing_.erase(worker_id(command.loss().worker()));
     if (command.loss().gone()) forget_worker(command.loss().worker());
   }
@@ -260,6 +262,11 @@
   respond(make_response(result.status, result.reason));
 }
 
+void fleet_controller::runs_changed(const std::string& worker) {
+  worker_view* it = workers_.find(worker_id(worker));
+  if (it != nullptr) it->load_is_old = true;
+}
+
 /// A call of the worker that still waits is answered: it calls anew.
 void fleet_controller::forget_worker(const std::string& worker) {
   const worker_id id(worker);
@@ -272,6 +279,7 @@
 
 void fleet_controller::installed(const std::string& bytes) {
   book_.load(bytes);
+  for (auto& [id, it] : workers_.views()) it.load_is_old = true;
   unsettled_ = true;
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -46,6 +46,10 @@
   /// less often. At 1,750 a second a leader of 0.32 cores was used up
   /// (journal, the grown sites).
   uint64_t beats_per_s = 700;
+  /// How often a second the leader looks at readings and sets paces, over all
+  /// workers: a look takes 10 to 15 us. Readings are averages of half a second,
+  /// so that little is lost while each worker's turn comes within that.
+  uint64_t paces_per_s = 2'500;
   /// The longest that an answer to a worker waits for the log.
   milliseconds answer_wait{500};
   /// A job that is over is known for so long.
@@ -103,6 +107,7 @@
   void add_command(fleet::fleet_command command);
   void flush();
   void refused(const fleet::fleet_command& command, const absl::Status& status);
+  void runs_changed(const std::string& worker);
   void forget_worker(const std::string& worker);
   void apply_one(const fleet::fleet_command& command);
   uint64_t pending_of(const fleet::queue_route& queue) const;
@@ -114,6 +119,7 @@
   void note_end(worker_view& it, const fleet::run_end& end);
   bool answer_is_due(const worker_view& it) const;
   void answer(worker_view& it);
+  void pace_if_due(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
   fleet::worker_orders orders_for(worker_view& it);
   void add_starts(worker_view& it, fleet::worker_orders& orders);
@@ -126,8 +132,8 @@
   void move_held();
   void review_pace_of_reading();
   bool is_behind() const;
-  bool is_replaced(const worker_view& it) const;
   void review_silence();
+  void review_all_unstarted();
   void review_unstarted(worker_view& it);
   void plan();
   void forget_old_jobs();
@@ -157,6 +163,7 @@
   uint64_t beats_ = 0;
   uint64_t late_beats_ = 0;
   time_point ticked_at_{};
+  time_point unstarted_reviewed_at_{};
   time_point behind_until_{};
 };
 
--- a/fleet/interference.cc
+++ b/fleet/interference.cc
@@ -1,6 +1,7 @@
 #include "fleet/interference.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace kestrelreel {
 namespace detail {
@@ -19,40 +20,67 @@
 /// What an estimate may move by between two readings.
 constexpr double drift_variance = 3e-7;
 
+/// Numbers given out; bounds memory.
+constexpr size_t most_ids = 4'096;
+constexpr size_t no_place = SIZE_MAX;
+
 }  // namespace detail
 
-double interference_model::sensitivity(const std::string& serving) const {
-  const auto found = estimates_.find(serving);
-  if (found == estimates_.end() || found->second.mean.empty()) {
-    return detail::guessed_cost;
-  }
-  const auto& mean = found->second.mean;
-  return *std::max_element(mean.begin(), mean.end());
+image_id interference_model::id_of(const std::string& image) {
+  const auto found = ids_.find(image);
+  if (found != ids_.end()) return found->second;
+  if (ids_.size() >= detail::most_ids) return image_id(detail::most_ids);
+  return ids_.emplace(image, image_id(ids_.size())).first->second;
+}
+
+const interference_model::estimate* interference_model::find(
+    image_id serving) const {
+  if (serving.value() >= estimates_.size()) return nullptr;
+  const estimate& it = estimates_[serving.value()];
+  return it.mean.empty() ? nullptr : &it;
+}
+
+size_t interference_model::place_of(const estimate& it, image_id fill) {
+  return fill.value() < it.places.size() ? it.places[fill.value()]
+                                         : detail::no_place;
+}
+
+double interference_model::sensitivity(image_id serving) const {
+  const estimate* it = find(serving);
+  return it == nullptr ? detail::guessed_cost : it->sensitivity;
 }
 
-void interference_model::add_place(estimate& it, const std::string& fill) {
+void interference_model::add_place(estimate& it, image_id fill) {
   const size_t n = it.mean.size();
-  it.places[fill] = n;
+  if (fill.value() >= it.places.size()) {
+    it.places.resize(fill.value() + 1, detail::no_place);
+  }
+  it.places[fill.value()] = n;
   it.mean.push_back(detail::guessed_cost);
   for (auto& row : it.covariance) row.push_back(0);
   it.covariance.emplace_back(n + 1, 0.0);
   it.covariance[n][n] = detail::guessed_variance;
 }
 
-void interference_model::observe(const std::string& serving, double rise,
-                                 const std::map<std::string, double>& use) {
+void interference_model::observe(image_id serving, double rise,
+                                 const std::vector<image_use>& use) {
   if (use.empty()) return;
-  estimate& it = estimates_[serving];
-  for (const auto& [image, processors] : use) {
-    const bool room = it.places.size() < detail::most_images;
-    if (room && !it.places.contains(image)) add_place(it, image);
+  if (serving.value() >= estimates_.size()) {
+    estimates_.resize(serving.value() + 1);
+  }
+  estimate& it = estimates_[serving.value()];
+  for (const image_use& fill : use) {
+    const bool known = place_of(it, fill.image) != detail::no_place;
+    const bool room = it.mean.size() < detail::most_images;
+    if (!known && room) add_place(it, fill.image);
   }
   std::vector<double> x(it.mean.size(), 0.0);
-  for (const auto& [image, processors] : use) {
-    const auto place = it.places.find(image);
-    if (place != it.places.end()) x[place->second] += processors;
+  for (const image_use& fill : use) {
+    const size_t place = place_of(it, fill.image);
+    if (place != detail::no_place) x[place] += fill.processors;
   }
   update(it, x, rise);
+  it.sensitivity = *std::max_element(it.mean.begin(), it.mean.end());
 }
 
 void interference_model::update(estimate& it, const std::vector<double>& x,
@@ -78,13 +106,12 @@
   }
 }
 
-double interference_model::cost(const std::string& serving,
-                                const std::string& fill) const {
-  const auto found = estimates_.find(serving);
-  if (found == estimates_.end()) return detail::guessed_cost;
-  const auto place = found->second.places.find(fill);
-  if (place == found->second.places.end()) return detail::guessed_cost;
-  return std::max(0.0, found->second.mean[place->second]);
+double interference_model::cost(image_id serving, image_id fill) const {
+  const estimate* it = find(serving);
+  if (it == nullptr) return detail::guessed_cost;
+  const size_t place = place_of(*it, fill);
+  if (place == detail::no_place) return detail::guessed_cost;
+  return std::max(0.0, it->mean[place]);
 }
 
 }  // namespace kestrelreel
--- a/fleet/interference.h
+++ b/fleet/interference.h
@@ -3,12 +3,23 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "base/ids.h"
+
 namespace kestrelreel {
 
+/// An image as the model numbers it.
+using image_id = strong_count<struct image_tag>;
+
+/// Processors that the fill tasks of one image use beside a serving task.
+struct image_use {
+  image_id image;
+  double processors = 0;
+};
+
 /// A service without users has this much headroom (target divided by tail); the
 /// users' site files name 6 (`target_x`).
 constexpr double idle_headroom = 6;
@@ -35,28 +46,36 @@
 /// filter whose state drifts, so that a new amount shows within seconds.
 class interference_model {
  public:
+  /// The number of an image; images beyond the first 4,096 share one.
+  image_id id_of(const std::string& image);
   /// By which share of its own load a serving task's load was raised, and the
   /// processors that each fill image used beside it.
-  void observe(const std::string& serving, double rise,
-               const std::map<std::string, double>& use);
+  void observe(image_id serving, double rise,
+               const std::vector<image_use>& use);
   /// The highest cost of any fill image known; the guess before any is.
-  double sensitivity(const std::string& serving) const;
+  double sensitivity(image_id serving) const;
   /// The share of its own load that one processor's use of the fill image
   /// adds to a serving task's. Processors are
   /// counted as of a worker with 32. A cautious guess until readings say
   /// otherwise. Never below 0.
-  double cost(const std::string& serving, const std::string& fill) const;
+  double cost(image_id serving, image_id fill) const;
 
  private:
   struct estimate {
-    std::map<std::string, size_t> places;
+    // By the fill image's number; `no_place` without an estimate.
+    std::vector<size_t> places;
     std::vector<double> mean;
     std::vector<std::vector<double>> covariance;
+    double sensitivity = 0;
   };
-  static void add_place(estimate& it, const std::string& fill);
+  const estimate* find(image_id serving) const;
+  static size_t place_of(const estimate& it, image_id fill);
+  static void add_place(estimate& it, image_id fill);
   static void update(estimate& it, const std::vector<double>& x, double y);
 
-  std::map<std::string, estimate> estimates_;
+  std::unordered_map<std::string, image_id> ids_;
+  // By the serving image's number.
+  std::vector<estimate> estimates_;
 };
 
 }  // namespace kestrelreel
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -1,4 +1,5 @@
 // The book as bytes, for snapshots.
+#include <algorithm>
 #include <utility>
 
 #include "fleet/job-book.h"
@@ -50,7 +51,11 @@
 std::string job_book::save() const {
   fleet::fleet_snapshot out;
   *out.mutable_config() = config_;
-  for (const auto& [number, job] : jobs_) *out.add_jobs() = save_job(job);
+  std::vector<job_number> numbers;
+  numbers.reserve(jobs_.size());
+  for (const auto& [number, job] : jobs_) numbers.push_back(number);
+  std::sort(numbers.begin(), numbers.end());
+  for (const job_number it : numbers) *out.add_jobs() = save_job(jobs_.at(it));
   for (const auto& [worker, n] : last_ends_) {
     fleet::saved_worker& it = *out.add_workers();
     it.set_worker(worker.str());
@@ -98,10 +103,7 @@
 void job_book::load(const std::string& bytes) {
   fleet::fleet_snapshot in;
   in.ParseFromString(bytes);
-  // Versions go on rising, so that none of the earlier state's is met again.
-  const uint64_t next_version = next_version_;
   *this = job_book();
-  next_version_ = next_version + 1;
   if (in.has_config()) put_config(in.config());
   for (const fleet::saved_job& it : in.jobs()) load_job(it);
   for (const fleet::saved_worker& it : in.workers()) {
@@ -110,7 +112,6 @@
   for (const fleet::run_start& it : in.alive()) {
     runs_[worker_id(it.worker())].insert(
         {to_key(it.task()), run_number(it.run())});
-    runs_versions_[worker_id(it.worker())] = next_version_++;
   }
   next_order_ = in.next_order();
 }
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -42,11 +42,6 @@
   return it == runs_.end() ? none : it->second;
 }
 
-uint64_t job_book::runs_version(const worker_id& worker) const {
-  const auto it = runs_versions_.find(worker);
-  return it == runs_versions_.end() ? 0 : it->second;
-}
-
 uint64_t job_book::last_end(const worker_id& worker) const {
   const auto it = last_ends_.find(worker);
   return it == last_ends_.end() ? 0 : it->second;
@@ -160,7 +155,6 @@
   job.begun = true;
   job.phase = fleet::job_running;
   runs_[task->worker].insert(run);
-  runs_versions_[task->worker] = next_version_++;
 }
 
 job_book::result job_book::report(const fleet::worker_report& report) {
@@ -179,7 +173,6 @@
                      fleet::run_outcome outcome, const std::string& saved) {
   const auto found = runs_.find(worker);
   const bool held = found != runs_.end() && found->second.erase(run) > 0;
-  if (held) runs_versions_[worker] = next_version_++;
   if (held && found->second.empty()) runs_.erase(found);
   task_entry* task = find_task(run.task);
   if (task == nullptr) return;
@@ -266,7 +259,6 @@
   const std::set<run_key> rest = runs_on(worker);
   for (const run_key& it : rest) close(worker, it, fleet::run_lapsed, "");
   last_ends_.erase(worker);
-  runs_versions_.erase(worker);
   return {};
 }
 
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fleet/task-key.h"
@@ -69,7 +70,7 @@
   void load(const std::string& bytes);
 
   const fleet::fleet_config& config() const { return config_; }
-  const std::map<job_number, job_entry>& jobs() const { return jobs_; }
+  const std::unordered_map<job_number, job_entry>& jobs() const { return jobs_; }
   const job_entry* find(job_number job) const;
   /// Jobs that are neither over nor refused, in the order of their coming.
   const std::map<uint64_t, job_number>& live() const { return live_; }
@@ -83,9 +84,6 @@
   /// Runs that may be alive on a worker.
   const std::set<run_key>& runs_on(const worker_id& worker) const;
   const std::map<worker_id, std::set<run_key>>& runs() const { return runs_; }
-  /// Changes with the runs on a worker, and with the book as a whole; 0 only
-  /// for a worker that never had any.
-  uint64_t runs_version(const worker_id& worker) const;
   /// Number of the last end of a worker that was recorded; 0 before any.
   uint64_t last_end(const worker_id& worker) const;
   const std::map<worker_id, uint64_t>& workers() const { return last_ends_; }
@@ -120,11 +118,9 @@
 
   fleet::fleet_config config_;
   std::map<std::string, size_t> queues_;
-  std::map<job_number, job_entry> jobs_;
+  std::unordered_map<job_number, job_entry> jobs_;
   std::map<uint64_t, job_number> live_;
   std::map<worker_id, std::set<run_key>> runs_;
-  std::map<worker_id, uint64_t> runs_versions_;
-  uint64_t next_version_ = 1;
   std::map<worker_id, uint64_t> last_ends_;
   uint64_t next_order_ = 1;
 };
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -34,6 +34,9 @@
 constexpr double held_share = 0.3;
 constexpr milliseconds move_after{1'500};
 constexpr size_t most_moves = 12;
+/// Runs looked at for a move in one tick: with 1,100 workers each look takes
+/// about 0.1 ms.
+constexpr size_t most_looks = 24;
 /// A place where an image was held back is left to others for so long: about a
 /// third of the users' swings.
 constexpr milliseconds unfit_time{4'000};
@@ -64,7 +67,7 @@
 }  // namespace detail
 
 std::vector<fleet_scheduler::serving_task> fleet_scheduler::serving_tasks(
-    const worker_view& it) const {
+    const worker_view& it) {
   std::vector<serving_task> all;
   for (const auto& [run, row] : it.rows) {
     const fleet::step_spec* step = book_.find_step(run.task);
@@ -75,19 +78,21 @@
     }
     const double tail_share = row.reading() / step->target_ms();
     const double load = 1 - 1 / (tail_share * idle_headroom);
-    all.push_back({run, step, tail_share, std::max(0.0, load)});
+    all.push_back({run, step, model_.id_of(step->image()), tail_share,
+                   std::max(0.0, load)});
   }
   return all;
 }
 
 std::vector<fleet_scheduler::fill_task> fleet_scheduler::fill_tasks(
-    const worker_view& it) const {
+    const worker_view& it) {
   std::vector<fill_task> all;
   for (const auto& [run, row] : it.rows) {
     const fleet::step_spec* step = book_.find_step(run.task);
     if (step == nullptr || !step->fills()) continue;
     all.push_back(
-        {run, step, detail::reference_use(it.beat, row.reading()),
+        {run, step, model_.id_of(step->image()),
+         detail::reference_use(it.beat, row.reading()),
          detail::reference_use(it.beat, static_cast<double>(step->cpu_milli())),
          1.0});
   }
@@ -98,8 +103,9 @@
 void fleet_scheduler::pace(worker_view& it) {
   const std::vector<serving_task> serving = serving_tasks(it);
   std::vector<fill_task> fills = fill_tasks(it);
-  std::map<std::string, double> use;
-  for (const fill_task& fill : fills) use[fill.step->image()] += fill.use;
+  std::vector<image_use> use;
+  use.reserve(fills.size());
+  for (const fill_task& fill : fills) use.push_back({fill.image, fill.use});
   std::erase_if(it.excess,
                 [&](const auto& p) { return !it.rows.contains(p.first); });
   for (const serving_task& task : serving) learn(it, task, use);
@@ -120,12 +126,12 @@
   size_t all = 0;
   for (const auto& [order, number] : book_.live()) {
     const job_entry& job = *book_.find(number);
-    const auto accepted = accepted_.find(number);
+    const auto plan = plans_.find(number);
     const bool fills = !job.spec.steps().empty() && job.spec.steps(0).fills();
-    if (!fills || accepted == accepted_.end()) continue;
+    if (!fills || plan == plans_.end()) continue;
     ++all;
-    const job_order it =
-        order_of(job, book_.queue_of(job), accepted->second, clock_.now());
+    const job_order it = order_of(job, book_.queue_of(job),
+                                  plan->second.accepted, clock_.now());
     if (it.standing != job_standing::in_time) ++late;
   }
   const double share =
@@ -170,7 +176,7 @@
     if (fill.share < detail::held_share) {
       const auto since = it.held_since.try_emplace(fill.run, it.heard).first;
       if (it.heard - since->second >= detail::move_after) {
-        it.unfit_until[fill.step->image()] = it.heard + detail::unfit_time;
+        it.unfit_until[fill.image] = it.heard + detail::unfit_time;
       }
     } else if (fill.share >= detail::free_share) {
       it.held_since.erase(fill.run);
@@ -191,42 +197,57 @@
          row->second.percent() <= detail::early_percent;
 }
 
-fleet_scheduler::candidate* fleet_scheduler::better_place(
+worker_view* fleet_scheduler::better_place(
     const worker_view& from, const run_key& run,
-    std::vector<candidate>& all) const {
+    const std::vector<worker_view*>& all) {
   const job_entry* job = book_.find(run.task.job);
   if (job == nullptr || !job->live()) return nullptr;
   const fleet::step_spec& spec = *book_.find_step(run.task);
-  const std::string& pool = book_.queue_of(*job).pool();
-  candidate* it = nullptr;
+  const step_to_place step{spec, book_.queue_of(*job).pool(),
+                           detail::step_key(run.task),
+                           model_.id_of(spec.image()), false};
+  worker_view* it = nullptr;
   double best = 0;
-  for (candidate& place : all) {
-    const auto value = value_of(pool, run.task, spec, place, false);
+  for (worker_view* place : all) {
+    const auto value = value_of(step, *place);
     if (!value || (it != nullptr && *value <= best)) continue;
-    it = &place;
+    it = place;
     best = *value;
   }
-  if (it == nullptr || it->view == &from) return nullptr;
+  if (it == nullptr || it == &from) return nullptr;
   const milliseconds held = from.heard - from.held_since.at(run);
   const double wanted = held >= detail::move_anyway_after ? detail::fair_share
                                                           : detail::good_share;
-  return expected_share(*it, spec) >= wanted ? it : nullptr;
+  return expected_share(*it, step) >= wanted ? it : nullptr;
 }
 
+/// Looks at so many held back runs at most, and goes on where it ended: each
+/// look compares all workers.
 std::vector<run_key> fleet_scheduler::moves() {
   std::vector<run_key> runs;
-  std::vector<candidate> all;
-  for (auto& [id, it] : workers_.views()) {
-    for (const auto& [run, since] : it.held_since) {
+  std::vector<worker_view*> all;
+  size_t looks = 0;
+  auto& views = workers_.views();
+  auto it = views.upper_bound(moves_from_);
+  for (size_t n = views.size(); n > 0; --n, ++it) {
+    if (it == views.end()) it = views.begin();
+    moves_from_ = it->first;
+    worker_view& from = it->second;
+    for (const auto& [run, since] : from.held_since) {
+      if (!may_move(from, run)) continue;
       if (runs.size() >= detail::most_moves) return runs;
-      if (!may_move(it, run)) continue;
+      if (++looks > detail::most_looks) return runs;
       if (all.empty()) all = candidates();
-      candidate* place = better_place(it, run, all);
+      worker_view* place = better_place(from, run, all);
       const fleet::step_spec& spec = *book_.find_step(run.task);
       const bool requeue =
-          spec.saves_progress() && it.heard - since >= detail::requeue_after;
+          spec.saves_progress() && from.heard - since >= detail::requeue_after;
       if (place == nullptr && !requeue) continue;
-      if (place != nullptr) place->load.add(run.task, spec);
+      if (place != nullptr) {
+        place->load.add(run.task, spec, model_.id_of(spec.image()));
+        // Nothing is proposed for it yet.
+        place->load_is_old = true;
+      }
       runs.push_back(run);
     }
   }
@@ -234,8 +255,8 @@
 }
 
 /// The share of its own load that the fill tasks' uses add to a serving one's.
-double fleet_scheduler::added(const std::string& serving,
-                              const std::map<std::string, double>& use) const {
+double fleet_scheduler::added(image_id serving,
+                              const std::vector<image_use>& use) const {
   double sum = 0;
   for (const auto& [image, n] : use) sum += model_.cost(serving, image) * n;
   return sum;
@@ -244,9 +265,9 @@
 /// Tells the model how the task's load compares with what its step's tasks
 /// show, and the forecast what its own load is.
 void fleet_scheduler::learn(worker_view& it, const serving_task& task,
-                            const std::map<std::string, double>& use) {
+                            const std::vector<image_use>& use) {
   load_forecast& forecast = forecasts_[detail::step_key(task.run.task)];
-  const std::string& image = task.step->image();
+  const image_id image = task.image;
   const time_point read_at = it.heard - detail::reading_age;
   if (forecast.known()) {
     const double expected = forecast.at(read_at);
@@ -273,7 +294,7 @@
 /// target would cost more fill work than it is worth stays over it for now.
 void fleet_scheduler::hold_back(const worker_view& it, const serving_task& task,
                                 std::vector<fill_task>& fills) {
-  const std::string& image = task.step->image();
+  const image_id image = task.image;
   const auto known = it.excess.find(task.run);
   const double excess = known == it.excess.end() ? 0 : known->second;
   const double spare = most_load - std::clamp(excess - detail::excess_noise,
@@ -282,7 +303,7 @@
   double over = 1 - spare / own;
   std::vector<std::pair<double, fill_task*>> costs;
   for (fill_task& fill : fills) {
-    const double cost = model_.cost(image, fill.step->image());
+    const double cost = model_.cost(image, fill.image);
     over += cost * fill.full_use * fill.share;
     costs.emplace_back(cost, &fill);
   }
@@ -305,20 +326,19 @@
 
 /// The share that a fill task could work at beside the serving tasks of that
 /// worker, with the fill tasks that are there already.
-double fleet_scheduler::expected_share(const candidate& it,
-                                       const fleet::step_spec& spec) const {
+double fleet_scheduler::expected_share(const worker_view& it,
+                                       const step_to_place& step) const {
   const double own_use = detail::reference_use(
-      it.view->beat, static_cast<double>(spec.cpu_milli()));
+      it.beat, static_cast<double>(step.spec.cpu_milli()));
   double share = 1;
   for (const auto& [serving, count] : it.load.serving) {
-    const double cost = model_.cost(serving, spec.image());
+    const double cost = model_.cost(serving, step.image);
     if (cost < harmless_cost) continue;
     double room = fill_room;
     for (const auto& [fill, cpu] : it.load.fills) {
       const double other = model_.cost(serving, fill);
       if (other < harmless_cost) continue;
-      room -= other *
-              detail::reference_use(it.view->beat, static_cast<double>(cpu));
+      room -= other * detail::reference_use(it.beat, static_cast<double>(cpu));
     }
     share = std::min(share, std::max(0.0, room) / (cost * own_use));
   }
@@ -326,7 +346,7 @@
 }
 
 /// True when no serving task there suffers from any fill task known.
-bool fleet_scheduler::bears_all(const candidate& it) const {
+bool fleet_scheduler::bears_all(const worker_view& it) const {
   for (const auto& [image, count] : it.load.serving) {
     if (model_.sensitivity(image) >= harmless_cost) return false;
   }
@@ -334,9 +354,7 @@
 }
 
 void fleet_scheduler::forget(job_number job) {
-  accepted_.erase(job);
-  idle_since_.erase(job);
-  waits_since_.erase(job);
+  plans_.erase(job);
   const auto of_job = [&](const auto& p) { return p.first.job == job; };
   std::erase_if(forecasts_, of_job);
   std::erase_if(try_again_, of_job);
--- a/fleet/scheduler-test.cc
+++ b/fleet/scheduler-test.cc
@@ -220,16 +220,20 @@
   const row rows[] = {{0.19, 0.0}, {0.12, 0.02}, {0.0, 0.0}};
   for (const row& it : rows) {
     interference_model model;
+    const image_id serving_image = model.id_of("s");
+    const image_id heavy_image = model.id_of("h");
+    const image_id light_image = model.id_of("l");
     seeded_random random(11);
     for (int i = 0; i < 800; ++i) {
       const auto heavy = static_cast<double>(random.below(12));
       const auto light = static_cast<double>(random.below(12));
       const double noise = static_cast<double>(random.below(100)) / 500 - 0.1;
       const double rise = it.heavy * heavy + it.light * light + noise;
-      model.observe("s", rise, {{"h", heavy}, {"l", light}});
+      model.observe(serving_image, rise,
+                    {{heavy_image, heavy}, {light_image, light}});
     }
-    DOUBLES_EQUAL(it.heavy, model.cost("s", "h"), 0.01);
-    DOUBLES_EQUAL(it.light, model.cost("s", "l"), 0.01);
+    DOUBLES_EQUAL(it.heavy, model.cost(serving_image, heavy_image), 0.01);
+    DOUBLES_EQUAL(it.light, model.cost(serving_image, light_image), 0.01);
   }
 }
 
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -27,26 +27,16 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-void worker_load::add(const task_key& task, const fleet::step_spec& step) {
-  if (step.fills()) fill_cpu += step.cpu_milli();
-  if (!step.fills()) cpu += step.cpu_milli();
-  if (step.target_ms() > 0) {
-    serving_cpu += step.cpu_milli();
-    ++serving[step.image()];
-  }
-  if (step.fills()) fills[step.image()] += step.cpu_milli();
-  memory_mb += step.memory_mb();
-  accelerators += step.accelerators();
-  ++steps[{task.job, task.time, task.step, 0}];
-}
-
-worker_load fleet_scheduler::load_of(const worker_view& it) const {
+worker_load fleet_scheduler::load_of(const worker_view& it) {
   worker_load load;
+  const auto add = [&](const task_key& task, const fleet::step_spec& step) {
+    load.add(task, step, model_.id_of(step.image()));
+  };
   for (const run_key& run : book_.runs_on(it.id)) {
     const fleet::step_spec* step = book_.find_step(run.task);
-    if (step != nullptr) load.add(run.task, *step);
+    if (step != nullptr) add(run.task, *step);
   }
-  for (const auto& [run, step] : it.proposed) load.add(run.task, step);
+  for (const auto& [run, step] : it.proposed) add(run.task, step);
   return load;
 }
 
@@ -56,67 +46,74 @@
          now - it.heard < settings_.silent_limit;
 }
 
-std::vector<fleet_scheduler::candidate> fleet_scheduler::candidates() {
-  std::vector<candidate> all;
+std::vector<worker_view*> fleet_scheduler::candidates() {
+  std::vector<worker_view*> all;
   for (auto& [id, it] : workers_.views()) {
     if (!is_usable(it)) continue;
-    const uint64_t version = book_.runs_version(id);
-    const bool same = it.load_version == version && it.proposed.empty() &&
-                      it.load_without_proposed;
-    if (!same) {
-      it.load = load_of(it);
-      it.load_version = version;
-      it.load_without_proposed = it.proposed.empty();
-    }
-    all.push_back({&it, it.load});
+    if (std::exchange(it.load_is_old, false)) it.load = load_of(it);
+    all.push_back(&it);
   }
   return all;
 }
 
-/// True when a task of the job could run and nothing of it has for long.
-bool fleet_scheduler::is_starved(job_number number, const job_entry& job) {
-  bool runs = false;
-  for (const auto& steps : job.times) {
-    runs = runs || std::any_of(steps.begin(), steps.end(),
-                               [](const auto& it) { return it.running > 0; });
-  }
-  if (runs) {
-    idle_since_.erase(number);
-    return false;
-  }
-  const time_point now = clock_.now();
-  const auto since = idle_since_.try_emplace(number, now).first->second;
-  return now - since >= settings_.starved_after;
+/// True when nothing of a job that could run has run for long.
+bool fleet_scheduler::is_starved(const job_plan& plan) const {
+  return plan.idle_since &&
+         clock_.now() - *plan.idle_since >= settings_.starved_after;
+}
+
+fleet_scheduler::job_plan& fleet_scheduler::plan_of(job_number number) {
+  const auto [it, fresh] = plans_.try_emplace(number);
+  if (fresh) it->second.accepted = clock_.now();
+  return it->second;
 }
 
-job_order fleet_scheduler::order_now(job_number number, const job_entry& job) {
+job_order fleet_scheduler::order_now(job_plan& plan, const job_entry& job) {
   const time_point now = clock_.now();
-  const time_point accepted = accepted_.try_emplace(number, now).first->second;
-  job_order order = order_of(job, book_.queue_of(job), accepted, now);
+  job_order order = order_of(job, book_.queue_of(job), plan.accepted, now);
   if (order.standing != job_standing::lasting) return order;
-  const time_point since = waits_since_.try_emplace(number, now).first->second;
-  if (now - since < settings_.lasting_first_after) return order;
+  if (!plan.waits_since) plan.waits_since = now;
+  if (now - *plan.waits_since < settings_.lasting_first_after) return order;
   order.standing = job_standing::in_time;
-  order.deadline = since;
+  order.deadline = *plan.waits_since;
   return order;
 }
 
+/// Notes what the job's tasks do; true when a step of it is worth a try. Most
+/// live jobs have nothing to place: to look at each in full took half of the
+/// planning at 1,100 workers.
+bool fleet_scheduler::can_be_tried(job_number number, const job_entry& job) {
+  job_plan& plan = plan_of(number);
+  bool runs = false;
+  bool waits = false;
+  bool open = false;
+  for (uint32_t time = 0; time < job.times.size(); ++time) {
+    const auto& steps = job.times[time];
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+      const step_entry& it = steps[step];
+      runs = runs || it.running > 0;
+      if (it.done + it.running >= it.tasks.size()) continue;
+      waits = true;
+      open = open || (book_.step_is_due(job, time, step) &&
+                      may_try({number, time, step, 0}));
+    }
+  }
+  if (!waits) {
+    plan.waits_since.reset();
+    return false;
+  }
+  if (runs) plan.idle_since.reset();
+  if (!runs && !plan.idle_since) plan.idle_since = clock_.now();
+  return open;
+}
+
 std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
   std::vector<waiting_job> jobs;
   for (const auto& [order, number] : book_.live()) {
     const job_entry& job = *book_.find(number);
-    const bool waits =
-        std::any_of(job.times.begin(), job.times.end(), [](const auto& steps) {
-          return std::any_of(steps.begin(), steps.end(), [](const auto& it) {
-            return it.done + it.running < it.tasks.size();
-          });
-        });
-    if (!waits) {
-      waits_since_.erase(number);
-      continue;
-    }
-    jobs.push_back(
-        {order_now(number, job), number, &job, is_starved(number, job)});
+    if (!can_be_tried(number, job)) continue;
+    job_plan& plan = plan_of(number);
+    jobs.push_back({order_now(plan, job), number, &job, is_starved(plan)});
   }
   std::stable_sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
     return a.order < b.order;
@@ -133,13 +130,13 @@
   const std::vector<waiting_job> jobs = waiting_jobs();
   if (jobs.empty()) return out;
   // Filled by the first step that is tried.
-  std::vector<candidate> all;
+  std::vector<worker_view*> all;
   for (const waiting_job& it : jobs) plan_job(it, wall_ms, all, out);
   return out;
 }
 
 void fleet_scheduler::plan_job(const waiting_job& job, uint64_t wall_ms,
-                               std::vector<candidate>& all,
+                               std::vector<worker_view*>& all,
                                fleet::run_starts& out) {
   const fleet::fleet_job_spec& spec = job.entry->spec;
   for (uint32_t time = 0; time < job.entry->times.size(); ++time) {
@@ -162,57 +159,47 @@
 /// The tasks of a step are alike: each worker is looked at once, and again
 /// when it got one of them.
 std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
-    const waiting_job& job, uint32_t time, uint32_t step,
-    std::vector<candidate>& all) {
-  const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
-  const step_entry& entry = job.entry->times[time][step];
-  const std::string& pool = book_.queue_of(*job.entry).pool();
+    const waiting_job& job, const step_to_place& step,
+    std::vector<worker_view*>& all) {
+  const step_entry& entry = job.entry->times[step.first.time][step.first.step];
   run_number gang_run;
   for (const task_entry& it : entry.tasks) {
     gang_run = std::max(gang_run, it.run);
   }
   // Of two alike the first is taken.
   using ranked = std::pair<double, std::ptrdiff_t>;
-  std::priority_queue<ranked> best;
-  const auto rank = [&](size_t i) {
-    const auto value =
-        value_of(pool, {job.number, time, step, 0}, spec, all[i], job.starved);
-    if (value) best.emplace(*value, -static_cast<std::ptrdiff_t>(i));
-  };
-  for (size_t i = 0; i < all.size(); ++i) rank(i);
+  std::vector<ranked> values;
+  values.reserve(all.size());
+  for (size_t i = 0; i < all.size(); ++i) {
+    const auto value = value_of(step, *all[i]);
+    if (value) values.emplace_back(*value, -static_cast<std::ptrdiff_t>(i));
+  }
+  std::priority_queue<ranked> best(std::less<ranked>(), std::move(values));
   std::vector<placement> placed;
   for (uint32_t i = 0; i < entry.tasks.size() && !best.empty(); ++i) {
     const task_entry& task = entry.tasks[i];
-    const task_key key{job.number, time, step, i};
+    const task_key key{job.number, step.first.time, step.first.step, i};
     if (task.phase != task_phase::waiting || is_proposed(key)) continue;
-    const auto where = static_cast<size_t>(-best.top().second);
+    const std::ptrdiff_t at = best.top().second;
+    worker_view& where = *all[static_cast<size_t>(-at)];
     best.pop();
-    all[where].load.add(key, spec);
-    rank(where);
-    const run_number run = spec.gang() ? gang_run : task.run;
-    placed.push_back({key, run.next(), &all[where]});
-    if (job.starved && spec.fills() && !spec.gang()) break;
+    where.load.add(key, step.spec, step.image);
+    if (const auto value = value_of(step, where)) best.emplace(*value, at);
+    const run_number run = step.spec.gang() ? gang_run : task.run;
+    placed.push_back({key, run.next(), &where});
+    if (job.starved && step.spec.fills() && !step.spec.gang()) break;
   }
   return placed;
 }
 
-void fleet_scheduler::undo(const std::vector<placement>& placed) {
-  for (const placement& it : placed) {
-    it.where->load = load_of(*it.where->view);
-  }
-}
-
 /// A step that found no room is left alone for a while.
-bool fleet_scheduler::may_try(const task_key& step) {
+bool fleet_scheduler::may_try(const task_key& step) const {
   const auto it = try_again_.find(step);
-  if (it == try_again_.end()) return true;
-  if (clock_.now() < it->second) return false;
-  try_again_.erase(it);
-  return true;
+  return it == try_again_.end() || clock_.now() >= it->second;
 }
 
 void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
-                                uint32_t step, std::vector<candidate>& all,
+                                uint32_t step, std::vector<worker_view*>& all,
                                 fleet::run_starts& out) {
   const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
   const step_entry& entry = job.entry->times[time][step];
@@ -220,115 +207,116 @@
   if (spec.gang() && entry.running > 0) return;
   const task_key first{job.number, time, step, 0};
   if (!may_try(first)) return;
+  try_again_.erase(first);
   if (all.empty()) all = candidates();
-  const std::vector<placement> placed = place_tasks(job, time, step, all);
+  const step_to_place place{spec, book_.queue_of(*job.entry).pool(), first,
+                            model_.id_of(spec.image()), job.starved};
+  const std::vector<placement> placed = place_tasks(job, place, all);
   const size_t wanted = entry.tasks.size() - entry.done;
   if (placed.size() < wanted - entry.running) {
     const auto pause = std::chrono::duration_cast<milliseconds>(
         settings_.retry_per_worker * all.size());
     try_again_[first] = clock_.now() + pause;
   }
-  if (spec.gang() && placed.size() < wanted) return undo(placed);
-  if (!placed.empty()) idle_since_.erase(job.number);
+  if (spec.gang() && placed.size() < wanted) {
+    for (const placement& it : placed) it.where->load = load_of(*it.where);
+    return;
+  }
+  if (!placed.empty()) plan_of(job.number).idle_since.reset();
   for (const placement& it : placed) {
-    proposed_[it.task] = it.where->view->id;
-    it.where->view->proposed[{it.task, it.run}] = spec;
+    proposed_[it.task] = it.where->id;
+    it.where->proposed[{it.task, it.run}] = spec;
     fleet::run_start& start = *out.add_starts();
     *start.mutable_task() = to_ref(it.task);
     start.set_run(static_cast<uint32_t>(it.run.value()));
-    start.set_worker(it.where->view->id.str());
+    start.set_worker(it.where->id.str());
   }
 }
 
-int64_t fleet_scheduler::left_over(const candidate& it) const {
+int64_t fleet_scheduler::left_over(const worker_view& it) const {
   const auto use = [&](uint64_t cpu, unsigned share) {
     return static_cast<int64_t>(cpu * share / detail::percent);
   };
-  const auto capacity = static_cast<int64_t>(it.view->beat.cpu_milli());
+  const auto capacity = static_cast<int64_t>(it.beat.cpu_milli());
   return capacity - use(it.load.cpu - it.load.serving_cpu, detail::percent) -
          use(it.load.serving_cpu, settings_.serving_use_percent) -
          use(it.load.fill_cpu, detail::percent);
 }
 
-bool fleet_scheduler::fits(const candidate& it, const fleet::step_spec& spec,
-                           bool starved) const {
-  const fleet::worker_beat& room = it.view->beat;
+bool fleet_scheduler::fits(const worker_view& it,
+                           const step_to_place& step) const {
+  const fleet::step_spec& spec = step.spec;
+  const fleet::worker_beat& room = it.beat;
   if (it.load.memory_mb + spec.memory_mb() > room.memory_mb()) return false;
   if (it.load.accelerators + spec.accelerators() > room.accelerators()) {
     return false;
   }
   if (!spec.fills()) return it.load.cpu + spec.cpu_milli() <= room.cpu_milli();
-  return starved || bears(it, spec);
+  return step.starved || bears(it, step);
 }
 
 /// True where a fill task would get on.
-bool fleet_scheduler::bears(const candidate& it,
-                            const fleet::step_spec& spec) const {
-  const auto unfit = it.view->unfit_until.find(spec.image());
-  if (unfit != it.view->unfit_until.end() && unfit->second > clock_.now()) {
+bool fleet_scheduler::bears(const worker_view& it,
+                            const step_to_place& step) const {
+  const auto unfit = it.unfit_until.find(step.image);
+  if (unfit != it.unfit_until.end() && unfit->second > clock_.now()) {
     return false;
   }
   const auto wanted = static_cast<int64_t>(
-      spec.cpu_milli() * settings_.fill_share_percent / detail::percent);
+      step.spec.cpu_milli() * settings_.fill_share_percent / detail::percent);
   return left_over(it) >= wanted &&
-         expected_share(it, spec) * detail::percent >=
+         expected_share(it, step) * detail::percent >=
              settings_.least_pace_percent;
 }
 
 /// 1 on a worker that serves only with this image, 0 on one that does not
 /// serve, and less than 0 the more it serves with others.
-double fleet_scheduler::alike(const candidate& it,
-                              const fleet::step_spec& spec) const {
+double fleet_scheduler::alike(const worker_view& it, image_id image) const {
   uint32_t same = 0;
   uint32_t all = 0;
-  for (const auto& [image, n] : it.load.serving) {
+  for (const auto& [other, n] : it.load.serving) {
     all += n;
-    if (image == spec.image()) same = n;
+    if (other == image) same = n;
   }
   if (all == 0) return 0;
   return same == all ? 1 : -static_cast<double>(all - same) / all;
 }
 
-double fleet_scheduler::score(const candidate& it, const task_key& task,
-                              const fleet::step_spec& spec) const {
+double fleet_scheduler::score(const worker_view& it,
+                              const step_to_place& step) const {
+  const fleet::step_spec& spec = step.spec;
   double score = static_cast<double>(left_over(it));
-  const auto same = it.load.steps.find({task.job, task.time, task.step, 0});
-  if (same != it.load.steps.end()) score -= detail::crowd_cost * same->second;
+  score -= detail::crowd_cost * it.load.of_step(step.first);
   const std::string& rack = spec.affinity_rack();
-  if (!rack.empty() && has_label(it.view->beat, rack)) {
-    score += detail::rack_bonus;
-  }
+  if (!rack.empty() && has_label(it.beat, rack)) score += detail::rack_bonus;
   if (spec.fills()) {
-    const double share = expected_share(it, spec);
+    const double share = expected_share(it, step);
     score *= share;
     const bool anywhere = share >= 1 && !bears_all(it);
     if (anywhere) score += detail::spared_cost;
   } else if (spec.target_ms() <= 0 && bears_all(it)) {
     score -= detail::spared_cost;
   }
-  if (spec.target_ms() > 0) score += detail::image_bonus * alike(it, spec);
+  if (spec.target_ms() > 0) {
+    score += detail::image_bonus * alike(it, step.image);
+  }
   return score;
 }
 
 /// How well a task would stand on a worker; none where it must not run.
-std::optional<double> fleet_scheduler::value_of(const std::string& pool,
-                                                const task_key& task,
-                                                const fleet::step_spec& spec,
-                                                const candidate& it,
-                                                bool starved) const {
-  const fleet::worker_beat& beat = it.view->beat;
-  if (beat.pool() != pool || !fits(it, spec, starved)) return std::nullopt;
+std::optional<double> fleet_scheduler::value_of(const step_to_place& step,
+                                                const worker_view& it) const {
+  const fleet::step_spec& spec = step.spec;
+  if (!fits(it, step) || it.beat.pool() != step.pool) return std::nullopt;
   if (!spec.requires_label().empty() &&
-      !has_label(beat, spec.requires_label())) {
+      !has_label(it.beat, spec.requires_label())) {
     return std::nullopt;
   }
-  if (spec.anti_affinity() > 0) {
-    const auto n = it.load.steps.find({task.job, task.time, task.step, 0});
-    if (n != it.load.steps.end() && n->second >= spec.anti_affinity()) {
-      return std::nullopt;
-    }
+  if (spec.anti_affinity() > 0 &&
+      it.load.of_step(step.first) >= spec.anti_affinity()) {
+    return std::nullopt;
   }
-  return score(it, task, spec);
+  return score(it, step);
 }
 
 }  // namespace kestrelreel
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fleet/interference.h"
@@ -69,7 +70,7 @@
   /// elsewhere; at most a few at a time.
   std::vector<run_key> moves();
   /// What is taken of the worker.
-  worker_load load_of(const worker_view& it) const;
+  worker_load load_of(const worker_view& it);
   /// Looks at how many fill jobs are late: their work is worth the more, set
   /// against the targets of serving tasks. To be called once in a while.
   void weigh_fill_work();
@@ -79,13 +80,18 @@
   void forget(job_number job);
 
  private:
-  struct candidate {
-    worker_view* view;
-    worker_load load;
+  /// A step whose tasks are being placed.
+  struct step_to_place {
+    const fleet::step_spec& spec;
+    const std::string& pool;
+    task_key first;
+    image_id image;
+    bool starved;
   };
   struct serving_task {
     run_key run;
     const fleet::step_spec* step;
+    image_id image;
     // Its tail's share of the target, and what that says of its load.
     double tail_share;
     double load;
@@ -93,6 +99,7 @@
   struct fill_task {
     run_key run;
     const fleet::step_spec* step;
+    image_id image;
     // Processors used by the reading, and at full pace, as of `fill_use`.
     double use;
     double full_use;
@@ -108,52 +115,57 @@
   struct placement {
     task_key task;
     run_number run;
-    candidate* where;
+    worker_view* where;
+  };
+  /// What is kept of a live job beside the book.
+  struct job_plan {
+    time_point accepted;
+    // Since when a lasting job has had tasks that wait.
+    std::optional<time_point> waits_since;
+    // Since when it waits without anything running.
+    std::optional<time_point> idle_since;
   };
 
   std::vector<waiting_job> waiting_jobs();
-  std::vector<candidate> candidates();
+  job_plan& plan_of(job_number number);
+  bool can_be_tried(job_number number, const job_entry& job);
+  std::vector<worker_view*> candidates();
   bool is_usable(const worker_view& it) const;
   void plan_job(const waiting_job& job, uint64_t wall_ms,
-                std::vector<candidate>& all, fleet::run_starts& out);
+                std::vector<worker_view*>& all, fleet::run_starts& out);
   void plan_step(const waiting_job& job, uint32_t time, uint32_t step,
-                 std::vector<candidate>& all, fleet::run_starts& out);
-  std::vector<placement> place_tasks(const waiting_job& job, uint32_t time,
-                                     uint32_t step,
-                                     std::vector<candidate>& all);
-  std::optional<double> value_of(const std::string& pool, const task_key& task,
-                                 const fleet::step_spec& spec,
-                                 const candidate& it, bool starved) const;
-  bool is_starved(job_number number, const job_entry& job);
-  job_order order_now(job_number number, const job_entry& job);
-  bool may_try(const task_key& step);
-  bool fits(const candidate& it, const fleet::step_spec& spec,
-            bool starved) const;
-  bool bears(const candidate& it, const fleet::step_spec& spec) const;
-  double score(const candidate& it, const task_key& task,
-               const fleet::step_spec& spec) const;
-  double alike(const candidate& it, const fleet::step_spec& spec) const;
-  int64_t left_over(const candidate& it) const;
+                 std::vector<worker_view*>& all, fleet::run_starts& out);
+  std::vector<placement> place_tasks(const waiting_job& job,
+                                     const step_to_place& step,
+                                     std::vector<worker_view*>& all);
+  std::optional<double> value_of(const step_to_place& step,
+                                 const worker_view& it) const;
+  bool is_starved(const job_plan& plan) const;
+  job_order order_now(job_plan& plan, const job_entry& job);
+  bool may_try(const task_key& step) const;
+  bool fits(const worker_view& it, const step_to_place& step) const;
+  bool bears(const worker_view& it, const step_to_place& step) const;
+  double score(const worker_view& it, const step_to_place& step) const;
+  double alike(const worker_view& it, image_id image) const;
+  int64_t left_over(const worker_view& it) const;
   // Pacing: pacing.cc.
-  std::vector<serving_task> serving_tasks(const worker_view& it) const;
-  std::vector<fill_task> fill_tasks(const worker_view& it) const;
+  std::vector<serving_task> serving_tasks(const worker_view& it);
+  std::vector<fill_task> fill_tasks(const worker_view& it);
   void learn(worker_view& it, const serving_task& task,
-             const std::map<std::string, double>& use);
+             const std::vector<image_use>& use);
   void hold_back(const worker_view& it, const serving_task& task,
                  std::vector<fill_task>& fills);
-  double added(const std::string& serving,
-               const std::map<std::string, double>& use) const;
+  double added(image_id serving, const std::vector<image_use>& use) const;
   double own_load(const task_key& serving, milliseconds ahead) const;
   void guard(worker_view& it, const std::vector<serving_task>& serving,
              std::vector<fill_task>& fills);
   void note_held(worker_view& it, const std::vector<fill_task>& fills);
   bool may_move(const worker_view& it, const run_key& run) const;
-  candidate* better_place(const worker_view& from, const run_key& run,
-                          std::vector<candidate>& all) const;
-  bool bears_all(const candidate& it) const;
-  double expected_share(const candidate& it,
-                        const fleet::step_spec& spec) const;
-  void undo(const std::vector<placement>& placed);
+  worker_view* better_place(const worker_view& from, const run_key& run,
+                            const std::vector<worker_view*>& all);
+  bool bears_all(const worker_view& it) const;
+  double expected_share(const worker_view& it,
+                        const step_to_place& step) const;
   bool is_proposed(const task_key& task) const;
 
   scheduler_settings settings_;
@@ -165,15 +177,13 @@
   double target_cores_;
   // Of serving steps, by the key of their first task.
   std::map<task_key, load_forecast> forecasts_;
-  std::map<job_number, time_point> accepted_;
-  // Since when lasting jobs have had tasks that wait.
-  std::map<job_number, time_point> waits_since_;
-  // Since when jobs wait without anything running.
-  std::map<job_number, time_point> idle_since_;
+  std::unordered_map<job_number, job_plan> plans_;
   // When a step that found no room is tried again, by its first task.
   std::map<task_key, time_point> try_again_;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
+  // Where the last look for runs to move ended.
+  worker_id moves_from_;
 };
 
 /// True when the worker bears the label.
--- a/fleet/worker-load.h
+++ b/fleet/worker-load.h
@@ -2,15 +2,17 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <string>
+#include <vector>
 
+#include "fleet/interference.h"
 #include "fleet/task-key.h"
 #include "proto/fleet.pb.h"
 
 namespace kestrelreel {
 
-/// What is taken of one worker, by all runs that may be alive there.
+/// What is taken of one worker, by all runs that may be alive there. Lists, not
+/// maps: a worker holds some 20 tasks, and each step that is placed looks at
+/// all workers.
 struct worker_load {
   /// Processors of tasks whose share is counted.
   uint64_t cpu = 0;
@@ -20,13 +22,28 @@
   uint64_t fill_cpu = 0;
   uint64_t memory_mb = 0;
   uint64_t accelerators = 0;
-  /// Tasks by job, time and step.
-  std::map<task_key, uint32_t> steps;
-  /// Serving tasks by image, and the processors of fill tasks by image.
-  std::map<std::string, uint32_t> serving;
-  std::map<std::string, uint64_t> fills;
 
-  void add(const task_key& task, const fleet::step_spec& step);
+  struct step_count {
+    task_key first;
+    uint32_t tasks = 0;
+  };
+  struct image_count {
+    image_id image;
+    uint32_t tasks = 0;
+  };
+  struct image_cpu {
+    image_id image;
+    uint64_t cpu_milli = 0;
+  };
+  /// Tasks by job, time and step; serving tasks by image; the processors of
+  /// fill tasks by image.
+  std::vector<step_count> steps;
+  std::vector<image_count> serving;
+  std::vector<image_cpu> fills;
+
+  void add(const task_key& task, const fleet::step_spec& step, image_id image);
+  /// How many tasks of that step, named by its first task, are there.
+  uint32_t of_step(const task_key& first) const;
 };
 
 }  // namespace kestrelreel
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -58,22 +58,23 @@
   uint64_t end_proposed = 0;
   /// Starts proposed and not yet in the book.
   std::map<run_key, fleet::step_spec> proposed;
-  /// What is taken of it, as of that version of its runs in the book; kept
-  /// only without proposed starts.
+  /// What is taken of it by its runs in the book and the proposed ones, unless
+  /// they changed since.
   worker_load load;
-  uint64_t load_version = 0;
-  bool load_without_proposed = false;
+  bool load_is_old = true;
   /// The share that each fill task may work at, in percent, and what it was
   /// told.
   std::map<run_key, unsigned> pace;
   std::map<run_key, unsigned> paces;
+  /// When its readings were last looked at.
+  time_point paced_at{};
   /// What the loads of serving tasks exceed the model's by, as a share.
   std::map<run_key, double> excess;
   /// Since when serving tasks are over their target without a break.
   std::map<run_key, time_point> over_since;
   /// Images of fill tasks that were held back hard here for long: no more of
   /// them are placed before this.
-  std::map<std::string, time_point> unfit_until;
+  std::map<image_id, time_point> unfit_until;
   /// Since when fill tasks are held back hard.
   std::map<run_key, time_point> held_since;
   /// Ends `failed` in a row, and of how many jobs.
