Every control box takes heartbeats in; the leader gets the differences

Cause: all 1,100 workers called the leader: HTTP, JSON and 20 rows each, so that they were told to call each 1.6 s, and starts waited for that. The four other control boxes and 0.39 cores of each lay idle.

Ways weighed: (a) the control boxes, (b) the 147 entry boxes (2 Mbit/s each, no disk, killed and rolled more often, and then any of them would be a seed), (c) several schedulers.

Change: a worker is told to call the control box in its data centre; that box reads the heartbeat and passes on, each 10 ms, what differs from the last one the leader took in (ends, rows come and gone, readings each 0.4 s, checkpoints each 2 s). It grants and orders nothing: each answer is the leader's, for the very call that it read. A leader that lacks the base asks for all. Control boxes tell each other that they are up each 250 ms. Calls that find no leader wait for one up to 0.9 s in place of going round the boxes. Workers may call 4,000 times a second over all boxes (700 at the leader before); the test of that bound has as many workers more.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds fleet_lease{650};
 /// Decisions that come up within this time are made together.
 constexpr milliseconds settle_interval{15};
+/// Heartbeats that come within this time are passed on to the leader together.
+constexpr milliseconds pass_on_interval{10};
+/// Control boxes tell each other so often that they are up.
+constexpr milliseconds greeting_interval{250};
 /// EX_IOERR of sysexits.h: the disk failed.
 constexpr int fleet_disk_failure_exit = 74;
 /// A small box's memory holds the state and the log since the last snapshot.
@@ -37,7 +41,11 @@
       lease_(detail::fleet_lease),
       controller_(make_controller_settings(), context.clock, *this,
                   context.metrics),
+      intake_({}, context.clock),
+      directory_(context.settings.box, context.settings.data_centre,
+                 context.settings.control_address),
       settle_timer_(context.io),
+      pass_on_timer_(context.io),
       tick_timer_(context.io) {}
 
 fleet_record_service::~fleet_record_service() = default;
@@ -45,7 +53,6 @@
 controller_settings fleet_record_service::make_controller_settings() const {
   controller_settings settings;
   settings.leases.hold = context_.settings.worker_hold;
-  settings.beat_address = context_.settings.control_address;
   settings.wall_clock_ms = wall_clock_ms;
   return settings;
 }
@@ -70,6 +77,7 @@
 void fleet_record_service::stop() {
   tick_timer_.stop();
   settle_timer_.cancel();
+  pass_on_timer_.cancel();
   disk_thread_.reset();
   replica_.reset();
 }
@@ -194,7 +202,7 @@
   return replica_ ? replica_->state().leader() : "";
 }
 
-void fleet_record_service::on_message(const box_id& /*from*/,
+void fleet_record_service::on_message(const box_id& from,
                                       const fleet::fleet_frame& frame,
                                       const peer_mesh::stream_pointer& stream) {
   if (!replica_) return;
@@ -202,11 +210,105 @@
     replica_->receive(frame.raft());
     return check_role();
   }
-  if (frame.has_hello() && stream) stream->send(hello());
+  if (frame.has_beats()) return on_beats(from, frame.beats());
+  if (frame.has_beat_answers()) return intake_.answered(frame.beat_answers());
+  if (!frame.has_hello()) return;
+  // Another control box tells of itself and wants no answer.
+  if (!frame.hello().beat_address().empty()) {
+    return directory_.heard(from, frame.hello(), context_.clock.now());
+  }
+  if (stream) stream->send(hello());
+}
+
+void fleet_record_service::on_beats(const box_id& from,
+                                    const fleet::beat_batch& batch) {
+  controller_.take_beats(batch, [this, from](fleet::beat_answer answer) {
+    *answers_[from].add_answers() = std::move(answer);
+  });
+  settle_soon();
+}
+
+/// The answers of one settling go to each box in one message.
+void fleet_record_service::send_answers() {
+  for (auto& [box, answers] : std::exchange(answers_, {})) {
+    fleet::fleet_frame frame;
+    *frame.mutable_beat_answers() = std::move(answers);
+    mesh_->send(box, std::move(frame));
+  }
+}
+
+/// Here while this box leads, else by way of the leader.
+void fleet_record_service::take_beat(const fleet::worker_beat& beat,
+                                     respond_function respond) {
+  const auto told_where =
+      [this, data_centre = beat.data_centre(), worker = beat.worker(),
+       respond = std::move(respond)](fleet::fleet_response response) {
+        if (response.has_orders()) {
+          response.mutable_orders()->set_beat_at(directory_.address_for(
+              data_centre, worker, context_.clock.now()));
+        }
+        respond(std::move(response));
+      };
+  if (controller_.leading()) {
+    fleet::fleet_request request;
+    *request.mutable_beat() = beat;
+    controller_.request(request, told_where);
+    return settle_soon();
+  }
+  intake_.take(beat, told_where);
+  pass_on_soon();
+}
+
+void fleet_record_service::pass_on_soon() {
+  if (!intake_.has_news() || std::exchange(pass_on_armed_, true)) return;
+  pass_on_timer_.expires_after(detail::pass_on_interval);
+  pass_on_timer_.async_wait([this](boost::system::error_code ec) {
+    pass_on_armed_ = false;
+    if (!ec) pass_on();
+  });
+}
+
+/// Without a leader the calls wait for one, or until they are given up.
+void fleet_record_service::pass_on() {
+  const std::string leader = leader_told();
+  const bool here = leader == context_.settings.box.str();
+  if (leader.empty() || !intake_.has_news()) return;
+  if (here && !controller_.leading()) return;
+  fleet::beat_batch batch = intake_.collect(leader);
+  if (here) {
+    controller_.take_beats(batch, [this](fleet::beat_answer answer) {
+      fleet::beat_answers one;
+      *one.add_answers() = std::move(answer);
+      intake_.answered(one);
+    });
+    return settle_soon();
+  }
+  fleet::fleet_frame frame;
+  *frame.mutable_beats() = std::move(batch);
+  mesh_->send(box_id(leader), std::move(frame));
+}
+
+void fleet_record_service::greet_controls() {
+  const time_point now = context_.clock.now();
+  if (now - greeted_at_ < detail::greeting_interval) return;
+  greeted_at_ = now;
+  fleet::fleet_frame frame;
+  frame.mutable_hello()->set_data_centre(context_.settings.data_centre.str());
+  frame.mutable_hello()->set_beat_address(context_.settings.control_address);
+  const proto::membership& members = replica_->state().members();
+  for (const auto& all : {members.voters(), members.learners()}) {
+    for (const proto::replica& it : all) {
+      const box_id box(it.box());
+      if (box != context_.settings.box) mesh_->send(box, frame);
+    }
+  }
 }
 
 void fleet_record_service::on_request(const fleet::fleet_frame& frame,
                                       respond_function respond) {
+  if (frame.request().has_beat()) {
+    return take_beat(frame.request().beat(), std::move(respond));
+  }
   if (controller_.leading() || frame.relayed()) {
     controller_.request(frame.request(), respond);
     return settle_soon();
@@ -218,6 +320,7 @@
 
 void fleet_record_service::ask(const fleet::fleet_request& request,
                                milliseconds limit, respond_function respond) {
+  if (request.has_beat()) return take_beat(request.beat(), std::move(respond));
   const std::string leader = leader_told();
   const bool here = leader.empty() || leader == context_.settings.box.str();
   if (here) {
@@ -257,6 +360,7 @@
     if (ec) return;
     settled_at_ = context_.clock.now();
     controller_.settle();
+    send_answers();
   });
 }
 
@@ -267,6 +371,10 @@
   full_ = false;
   check_role();
   controller_.tick();
+  send_answers();
+  intake_.expire();
+  pass_on();
+  greet_controls();
   settle_soon();
 }
 
@@ -285,6 +393,7 @@
         .with("leader", it.leader())
         .with("voters", it.members().voters_size());
   }
+  if (it.leader() != last_leader_) intake_.leader_changed();
   last_role_ = it.role();
   last_leader_ = it.leader();
   told_deciding_ = decides;
--- a/daemon/fleet-record-service.h
+++ b/daemon/fleet-record-service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -11,8 +12,10 @@
 #include "daemon/mesh-service.h"
 #include "daemon/repeating-timer.h"
 #include "daemon/seeded-context.h"
+#include "fleet/beat-intake.h"
 #include "fleet/controller.h"
 #include "fleet/gateway.h"
+#include "fleet/intake-directory.h"
 #include "kernel/disk.h"
 #include "net/blocking-thread.h"
 
@@ -64,6 +67,12 @@
   void tick();
   void check_role();
   void settle_soon();
+  void take_beat(const fleet::worker_beat& beat, respond_function respond);
+  void on_beats(const box_id& from, const fleet::beat_batch& batch);
+  void pass_on_soon();
+  void pass_on();
+  void send_answers();
+  void greet_controls();
   fleet::fleet_frame hello();
   std::string leader_told() const;
 
@@ -73,6 +82,10 @@
   std::unique_ptr<blocking_thread> disk_thread_;
   leader_lease lease_;
   fleet_controller controller_;
+  beat_intake intake_;
+  intake_directory directory_;
+  // Answers to heartbeats, by the box that took them in.
+  std::map<box_id, fleet::beat_answers> answers_;
   std::unique_ptr<replica> replica_;
   raft_role last_role_ = raft_role::follower;
   std::string last_leader_;
@@ -81,7 +94,10 @@
   bool full_ = false;
   bool settle_armed_ = false;
   time_point settled_at_{};
+  bool pass_on_armed_ = false;
+  time_point greeted_at_{};
   boost::asio::steady_timer settle_timer_;
+  boost::asio::steady_timer pass_on_timer_;
   repeating_timer tick_timer_;
 };
 
--- /dev/null
+++ b/fleet/beat-intake-test.cc
@@ -0,0 +1,227 @@
+// Heartbeats taken in by a box that does not lead: the leader learns the same
+// from differences as from whole ones, and answers just the call it read.
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+#include "base/clock.h"
+#include "fleet/beat-intake.h"
+#include "fleet/fleet-test-world.h"
+#include "fleet/intake-directory.h"
+
+using namespace kestrelreel;
+
+TEST_GROUP(beat_intake) {
+  test_clock clock;
+  beat_intake intake{{}, clock};
+  lease_settings leases;
+  worker_table table{leases, clock};
+  fleet::worker_beat beat;
+  int answers = 0;
+  fleet::fleet_response last;
+
+  void setup() override {
+    beat.set_worker("a");
+    beat.set_pool("pool");
+    beat.add_labels("fast");
+  }
+  void call() {
+    beat.set_sequence(beat.sequence() + 1);
+    beat.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    intake.take(beat, [this](fleet::fleet_response r) {
+      last = std::move(r);
+      ++answers;
+    });
+  }
+  fleet::running_row& add_row(uint32_t index, double reading) {
+    fleet::running_row& row = *beat.add_running();
+    *row.mutable_task() = to_ref({job_number(7), 0, 0, index});
+    row.set_run(1);
+    row.set_saved("c");
+    row.set_reading(reading);
+    row.set_percent(index);
+    return row;
+  }
+  void answer(uint64_t sequence, bool wants_whole = false) {
+    fleet::beat_answers all;
+    fleet::beat_answer& it = *all.add_answers();
+    it.set_worker("a");
+    it.set_sequence(sequence);
+    it.mutable_response()->set_status(fleet::fleet_ok);
+    it.mutable_response()->set_wants_whole(wants_whole);
+    intake.answered(all);
+  }
+  /// What the leader took in of all that is passed on.
+  worker_table::arrival pass_on(const char* leader = "L") {
+    const fleet::beat_batch batch = intake.collect(leader);
+    LONGS_EQUAL(1, batch.beats_size());
+    return table.heard(batch.beats(0));
+  }
+  void check_rows(const worker_view& it) {
+    LONGS_EQUAL(beat.running_size(), it.rows.size());
+    for (const fleet::running_row& row : beat.running()) {
+      const auto& known =
+          it.rows.at({to_key(row.task()), run_number(row.run())});
+      DOUBLES_EQUAL(row.reading(), known.reading(), 0.001);
+      LONGS_EQUAL(row.percent(), known.percent());
+    }
+    STRCMP_EQUAL("pool", it.beat.pool().c_str());
+    LONGS_EQUAL(1, it.beat.labels_size());
+  }
+};
+
+TEST(beat_intake, differences_tell_the_same_as_whole_heartbeats) {
+  seeded_random random(5);
+  uint32_t next = 0;
+  for (int i = 0; i < 200; ++i) {
+    clock.advance(milliseconds(450));
+    const auto add = random.below(3);
+    for (uint64_t n = 0; n < add; ++n) {
+      add_row(next++, static_cast<double>(random.below(100)));
+    }
+    if (beat.running_size() > 0 && random.below(2) == 0) {
+      beat.mutable_running()->DeleteSubrange(
+          static_cast<int>(
+              random.below(static_cast<uint64_t>(beat.running_size()))),
+          1);
+    }
+    for (auto& row : *beat.mutable_running()) {
+      row.set_reading(static_cast<double>(random.below(100)));
+    }
+    call();
+    const auto arrival = pass_on();
+    CHECK_TRUE(arrival.view != nullptr && arrival.timely);
+    check_rows(*arrival.view);
+    answer(beat.sequence());
+  }
+  LONGS_EQUAL(200, answers);
+}
+
+TEST(beat_intake, quiet_heartbeat_passes_on_no_rows) {
+  for (uint32_t i = 0; i < 20; ++i) add_row(i, 1);
+  call();
+  pass_on();
+  answer(1);
+  clock.advance(milliseconds(100));
+  call();
+  const fleet::beat_batch batch = intake.collect("L");
+  LONGS_EQUAL(0, batch.beats(0).running_size());
+  LONGS_EQUAL(0, batch.beats(0).readings_size());
+  CHECK_TRUE(batch.ByteSizeLong() < 40);
+}
+
+TEST(beat_intake, leader_that_lacks_the_base_asks_for_all) {
+  struct row {
+    const char* name;
+    bool forgets;
+    bool overtaken_elsewhere;
+  };
+  const row rows[] = {{"it forgot the worker", true, false},
+                      {"another box passed one on", false, true}};
+  for (const row& it : rows) {
+    worker_table fresh(leases, clock);
+    beat_intake other({}, clock);
+    beat.clear_running();
+    add_row(1, 5);
+    call();
+    fresh.heard(intake.collect("L").beats(0));
+    answer(beat.sequence());
+    if (it.forgets) fresh.clear();
+    if (it.overtaken_elsewhere) {
+      beat.set_sequence(beat.sequence() + 1);
+      fresh.heard(beat);
+    }
+    add_row(2, 6);
+    call();
+    CHECK_TRUE_TEXT(fresh.heard(intake.collect("L").beats(0)).wants_whole,
+                    it.name);
+    const int before = answers;
+    answer(beat.sequence(), true);
+    LONGS_EQUAL_TEXT(before, answers, it.name);
+    const auto arrival = fresh.heard(intake.collect("L").beats(0));
+    CHECK_TRUE_TEXT(arrival.view != nullptr, it.name);
+    check_rows(*arrival.view);
+    answer(beat.sequence());
+  }
+}
+
+TEST(beat_intake, another_leader_is_told_all_of_what_waits) {
+  add_row(1, 5);
+  call();
+  pass_on("L");
+  intake.leader_changed();
+  const fleet::beat_batch batch = intake.collect("M");
+  LONGS_EQUAL(1, batch.beats_size());
+  LONGS_EQUAL(0, batch.beats(0).base());
+  LONGS_EQUAL(1, batch.beats(0).running_size());
+}
+
+TEST(beat_intake, each_call_is_answered_once_and_only_by_its_own_answer) {
+  call();
+  pass_on();
+  call();
+  // The earlier call is over: the worker made another one.
+  LONGS_EQUAL(1, answers);
+  answer(1);
+  LONGS_EQUAL(1, answers);
+  pass_on();
+  answer(2);
+  answer(2);
+  LONGS_EQUAL(2, answers);
+  LONGS_EQUAL(0, intake.waiting());
+}
+
+TEST(beat_intake, call_without_an_answer_is_given_up_within_a_second) {
+  call();
+  clock.advance(milliseconds(800));
+  intake.expire();
+  LONGS_EQUAL(0, answers);
+  clock.advance(milliseconds(100));
+  intake.expire();
+  LONGS_EQUAL(1, answers);
+  LONGS_EQUAL(fleet::fleet_unavailable, last.status());
+  CHECK_FALSE(intake.has_news());
+}
+
+TEST_GROUP(intake_directory){};
+
+TEST(intake_directory, workers_call_in_their_own_data_centre) {
+  struct row {
+    const char* name;
+    int silent_ms;
+    const char* data_centre;
+    const char* address;
+  };
+  const row rows[] = {
+      {"its own", 0, "demre", "2:1"},
+      {"this box's", 0, "kumluca", "1:1"},
+      {"its own is down", 1'200, "demre", "1:1"},
+  };
+  for (const row& it : rows) {
+    intake_directory directory(box_id("1"), data_centre_id("kumluca"), "1:1");
+    fleet::box_hello hello;
+    hello.set_data_centre("demre");
+    hello.set_beat_address("2:1");
+    const time_point now(50'000);
+    directory.heard(box_id("2"), hello, now);
+    STRCMP_EQUAL_TEXT(
+        it.address,
+        directory
+            .address_for(it.data_centre, "w", now + milliseconds(it.silent_ms))
+            .c_str(),
+        it.name);
+  }
+}
+
+TEST(intake_directory, data_centre_without_a_box_is_spread_over_all) {
+  intake_directory directory(box_id("1"), data_centre_id("kumluca"), "1:1");
+  fleet::box_hello hello;
+  hello.set_data_centre("demre");
+  hello.set_beat_address("2:1");
+  directory.heard(box_id("2"), hello, time_point(50'000));
+  std::map<std::string, int> n;
+  for (int i = 0; i < 100; ++i) {
+    ++n[directory.address_for("serik", std::to_string(i), time_point(50'000))];
+  }
+  CHECK_TRUE(n["1:1"] > 20 && n["2:1"] > 20);
+}
--- /dev/null
+++ b/fleet/beat-intake.cc
@@ -0,0 +1,146 @@
+#include "fleet/beat-intake.h"
+
+#include <utility>
+
+namespace kestrelreel {
+namespace detail {
+
+/// A worker that calls elsewhere for so long is forgotten.
+constexpr milliseconds forget_caller_after{10'000};
+
+fleet::fleet_response plain_response(fleet::fleet_status status,
+                                     const char* reason) {
+  fleet::fleet_response response;
+  response.set_status(status);
+  response.set_reason(reason);
+  return response;
+}
+
+run_key key_of(const fleet::running_row& row) {
+  return {to_key(row.task()), run_number(row.run())};
+}
+
+}  // namespace detail
+
+void beat_intake::take(fleet::worker_beat beat, respond_function respond) {
+  caller& it = callers_[beat.worker()];
+  if (it.respond) {
+    if (!it.passed_on) --news_;
+    std::exchange(it.respond, nullptr)(
+        detail::plain_response(fleet::fleet_ok, "overtaken"));
+  }
+  it.beat = std::move(beat);
+  it.respond = std::move(respond);
+  it.called = clock_.now();
+  it.passed_on = false;
+  ++news_;
+}
+
+fleet::beat_batch beat_intake::collect(const std::string& leader) {
+  fleet::beat_batch batch;
+  if (news_ == 0) return batch;
+  for (auto& [id, it] : callers_) {
+    if (!it.respond || it.passed_on) continue;
+    const bool known = it.told_to == leader;
+    *batch.add_beats() = known ? make_difference(it) : make_whole(it);
+    it.told_to = leader;
+    it.told_sequence = it.beat.sequence();
+    it.passed_on = true;
+  }
+  news_ = 0;
+  return batch;
+}
+
+fleet::worker_beat beat_intake::make_whole(caller& it) {
+  it.told.clear();
+  for (const fleet::running_row& row : it.beat.running()) {
+    it.told[detail::key_of(row)] = row;
+  }
+  it.readings_told = it.checkpoints_told = it.called;
+  return it.beat;
+}
+
+fleet::worker_beat beat_intake::make_difference(caller& it) const {
+  fleet::worker_beat out;
+  out.set_worker(it.beat.worker());
+  out.set_base(it.told_sequence);
+  out.set_sequence(it.beat.sequence());
+  out.set_clock_ms(it.beat.clock_ms());
+  out.set_draining(it.beat.draining());
+  out.set_remaining_ms(it.beat.remaining_ms());
+  *out.mutable_ended() = it.beat.ended();
+  const bool checkpoints =
+      it.called - it.checkpoints_told >= settings_.checkpoints_every;
+  if (checkpoints) it.checkpoints_told = it.called;
+  row_map now;
+  for (const fleet::running_row& row : it.beat.running()) {
+    const run_key key = detail::key_of(row);
+    const auto before = it.told.find(key);
+    const bool fresh = before == it.told.end();
+    const bool saved = !fresh && before->second.saved() != row.saved();
+    fleet::running_row& kept = now[key] = row;
+    if (fresh || (saved && checkpoints)) {
+      *out.add_running() = row;
+    } else {
+      kept.set_saved(before->second.saved());
+    }
+  }
+  for (const auto& [key, row] : it.told) {
+    if (now.contains(key)) continue;
+    fleet::run_name& gone = *out.add_gone();
+    *gone.mutable_task() = row.task();
+    gone.set_run(row.run());
+  }
+  it.told = std::move(now);
+  if (it.called - it.readings_told < settings_.readings_every) return out;
+  it.readings_told = it.called;
+  for (const auto& [key, row] : it.told) {
+    out.add_readings(static_cast<float>(row.reading()));
+    out.add_percents(row.percent());
+  }
+  return out;
+}
+
+void beat_intake::answered(const fleet::beat_answers& answers) {
+  for (const fleet::beat_answer& answer : answers.answers()) {
+    const auto found = callers_.find(answer.worker());
+    if (found == callers_.end()) continue;
+    caller& it = found->second;
+    if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
+    if (answer.response().wants_whole()) {
+      it.told_to.clear();
+      if (std::exchange(it.passed_on, false)) ++news_;
+      continue;
+    }
+    if (!it.passed_on) --news_;
+    std::exchange(it.respond, nullptr)(answer.response());
+  }
+}
+
+void beat_intake::leader_changed() {
+  for (auto& [id, it] : callers_) {
+    if (it.respond && std::exchange(it.passed_on, false)) ++news_;
+  }
+}
+
+void beat_intake::expire() {
+  const time_point now = clock_.now();
+  for (auto& [id, it] : callers_) {
+    if (!it.respond || now - it.called < settings_.answer_within) continue;
+    if (!it.passed_on) --news_;
+    std::exchange(it.respond, nullptr)(detail::plain_response(
+        fleet::fleet_unavailable, "no answer of a leader"));
+  }
+  std::erase_if(callers_, [&](const auto& p) {
+    return !p.second.respond &&
+           now - p.second.called >= detail::forget_caller_after;
+  });
+}
+
+size_t beat_intake::waiting() const {
+  size_t n = 0;
+  for (const auto& [id, it] : callers_) n += it.respond ? 1 : 0;
+  return n;
+}
+
+}  // namespace kestrelreel
--- a/fleet/controller-test.cc
+++ b/fleet/controller-test.cc
@@ -425,6 +425,6 @@
   world.configure();
   const uint64_t few = world.beat("w0").next_beat_ms();
   LONGS_EQUAL(300, few);
-  for (int i = 1; i < 700; ++i) world.beat("w" + std::to_string(i));
+  for (int i = 1; i < 4'000; ++i) world.beat("w" + std::to_string(i));
   LONGS_EQUAL(1'000, world.beat("w0").next_beat_ms());
 }
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -81,10 +81,34 @@
 
 }  // namespace detail
 
+void fleet_controller::take_beats(const fleet::beat_batch& batch,
+                                  const answer_function& answer) {
+  for (const fleet::worker_beat& it : batch.beats()) {
+    const auto respond = [answer, worker = it.worker(),
+                          n = it.sequence()](fleet::fleet_response response) {
+      fleet::beat_answer out;
+      out.set_worker(worker);
+      out.set_sequence(n);
+      *out.mutable_response() = std::move(response);
+      answer(std::move(out));
+    };
+    if (leads_ && log_.may_decide()) {
+      on_beat(it, respond);
+    } else {
+      respond(make_response(fleet::fleet_unavailable, "no-leader"));
+    }
+  }
+}
+
 void fleet_controller::on_beat(const fleet::worker_beat& beat,
                                const respond_function& respond) {
   ++metrics_.counter("kestrelreel_heartbeats_total");
-  const auto [it, timely] = workers_.heard(beat);
+  const auto [it, timely, wants_whole] = workers_.heard(beat);
+  if (wants_whole) {
+    fleet::fleet_response response = make_response(fleet::fleet_ok, "unknown");
+    response.set_wants_whole(true);
+    return respond(std::move(response));
+  }
   if (it == nullptr) {
     ++metrics_.counter("kestrelreel_heartbeats_overtaken_total");
     return respond(make_response(fleet::fleet_ok, "overtaken"));
@@ -223,7 +247,6 @@
   orders.set_hold_ms(static_cast<uint64_t>(hold));
   orders.set_last_end(book_.last_end(it.id));
   orders.set_fence(log_.term().value());
-  orders.set_beat_at(settings_.beat_address);
   orders.set_next_beat_ms(static_cast<uint64_t>(next_beat(it).count()));
   add_starts(it, orders);
   add_stops(it, orders);
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -37,15 +37,13 @@
 struct controller_settings {
   lease_settings leases;
   scheduler_settings scheduling;
-  /// Where workers reach this box; they are told to call here.
-  std::string beat_address;
   /// How soon a worker calls again: while work waits or runs, and when idle.
   milliseconds busy_beat{200};
   milliseconds idle_beat{300};
-  /// Heartbeats that the leader takes in a second; with more workers each calls
-  /// less often. At 1,750 a second a leader of 0.32 cores was used up
-  /// (journal, the grown sites).
-  uint64_t beats_per_s = 700;
+  /// Heartbeats taken in a second over all control boxes; with more workers
+  /// each calls less often, but for its ends. The leader spends some 10 us on
+  /// one, which keeps this below a tenth of a core.
+  uint64_t beats_per_s = 4'000;
   /// How often a second the leader looks at readings and sets paces, over all
   /// workers: a look takes 10 to 15 us. Readings are averages of half a second,
   /// so that little is lost while each worker's turn comes within that.
@@ -73,6 +71,11 @@
   /// Answers once, at once or when the log has it.
   void request(const fleet::fleet_request& request,
                const respond_function& respond);
+  /// Heartbeats that another box took in; each is answered once, under its
+  /// sequence.
+  using answer_function = std::function<void(fleet::beat_answer)>;
+  void take_beats(const fleet::beat_batch& batch,
+                  const answer_function& answer);
   /// A committed command, in order; on every replica.
   void applied(const fleet::fleet_command& command);
   /// The state of a snapshot replaces all; on every replica.
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -70,7 +70,9 @@
   void load(const std::string& bytes);
 
   const fleet::fleet_config& config() const { return config_; }
-  const std::unordered_map<job_number, job_entry>& jobs() const { return jobs_; }
+  const std::unordered_map<job_number, job_entry>& jobs() const {
+    return jobs_;
+  }
   const job_entry* find(job_number job) const;
   /// Jobs that are neither over nor refused, in the order of their coming.
   const std::map<uint64_t, job_number>& live() const { return live_; }
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -130,8 +130,8 @@
     const bool fills = !job.spec.steps().empty() && job.spec.steps(0).fills();
     if (!fills || plan == plans_.end()) continue;
     ++all;
-    const job_order it = order_of(job, book_.queue_of(job),
-                                  plan->second.accepted, clock_.now());
+    const job_order it =
+        order_of(job, book_.queue_of(job), plan->second.accepted, clock_.now());
     if (it.standing != job_standing::in_time) ++late;
   }
   const double share =
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -164,8 +164,7 @@
   worker_view* better_place(const worker_view& from, const run_key& run,
                             const std::vector<worker_view*>& all);
   bool bears_all(const worker_view& it) const;
-  double expected_share(const worker_view& it,
-                        const step_to_place& step) const;
+  double expected_share(const worker_view& it, const step_to_place& step) const;
   bool is_proposed(const task_key& task) const;
 
   scheduler_settings settings_;
--- a/fleet/slow-leader-test.cc
+++ b/fleet/slow-leader-test.cc
@@ -127,10 +127,8 @@
     for (int i = 0; i < boxes; ++i) {
       box& it = boxes_.emplace_back();
       it.log = std::make_unique<box_log>(*this, i);
-      controller_settings settings = test_world::make_settings();
-      settings.beat_address = std::to_string(i);
-      it.controller = std::make_unique<fleet_controller>(settings, clock_,
-                                                         *it.log, metrics_);
+      it.controller = std::make_unique<fleet_controller>(
+          test_world::make_settings(), clock_, *it.log, metrics_);
     }
     for (int i = 0; i < places; ++i) {
       machine& it = machines_.emplace_back();
--- a/fleet/worker-load.cc
+++ b/fleet/worker-load.cc
@@ -40,9 +40,8 @@
 }
 
 uint32_t worker_load::of_step(const task_key& first) const {
-  const auto it = std::find_if(steps.begin(), steps.end(), [&](const auto& s) {
-    return s.first == first;
-  });
+  const auto it = std::find_if(steps.begin(), steps.end(),
+                               [&](const auto& s) { return s.first == first; });
   return it == steps.end() ? 0 : it->tasks;
 }
 
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -32,26 +32,69 @@
   return timely;
 }
 
+void worker_table::take_whole(worker_view& it, const fleet::worker_beat& beat) {
+  it.beat = beat;
+  it.beat.clear_running();
+  it.rows.clear();
+  for (const fleet::running_row& row : beat.running()) {
+    it.rows[{to_key(row.task()), run_number(row.run())}] = row;
+  }
+}
+
+/// False when the readings do not belong to the rows that are known.
+bool worker_table::take_difference(worker_view& it,
+                                   const fleet::worker_beat& beat) {
+  for (const fleet::run_name& gone : beat.gone()) {
+    it.rows.erase({to_key(gone.task()), run_number(gone.run())});
+  }
+  for (const fleet::running_row& row : beat.running()) {
+    it.rows[{to_key(row.task()), run_number(row.run())}] = row;
+  }
+  it.beat.set_sequence(beat.sequence());
+  it.beat.set_clock_ms(beat.clock_ms());
+  it.beat.set_draining(beat.draining());
+  it.beat.set_remaining_ms(beat.remaining_ms());
+  *it.beat.mutable_ended() = beat.ended();
+  const int n = beat.readings_size();
+  if (n == 0) return true;
+  if (n != beat.percents_size() || static_cast<size_t>(n) != it.rows.size()) {
+    return false;
+  }
+  int i = 0;
+  for (auto& [run, row] : it.rows) {
+    row.set_reading(beat.readings(i));
+    row.set_percent(beat.percents(i));
+    ++i;
+  }
+  return true;
+}
+
 worker_table::arrival worker_table::heard(const fleet::worker_beat& beat) {
   const worker_id id(beat.worker());
+  const bool differs = beat.base() != 0;
+  const auto found = views_.find(id);
+  const bool known = found != views_.end() && found->second.known;
+  if (known && beat.sequence() <= found->second.beat.sequence()) return {};
+  if (differs && (!known || found->second.beat.sequence() != beat.base())) {
+    return {nullptr, false, true};
+  }
   worker_view& it = views_[id];
   it.id = id;
-  if (it.known && beat.sequence() <= it.beat.sequence()) return {};
   const time_point now = clock_.now();
   const bool timely = is_timely(it, beat);
+  if (!differs) {
+    take_whole(it, beat);
+  } else if (!take_difference(it, beat)) {
+    return {nullptr, false, true};
+  }
   if (!it.known) {
     it.first_told = now;
     it.first_clock_ms = beat.clock_ms();
   }
-  it.beat = beat;
   it.told = now;
   if (timely) it.heard = now;
   it.known = true;
-  it.rows.clear();
-  for (const fleet::running_row& row : beat.running()) {
-    it.rows[{to_key(row.task()), run_number(row.run())}] = row;
-  }
-  return {&it, timely};
+  return {&it, timely, false};
 }
 
 }  // namespace kestrelreel
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -38,6 +38,7 @@
 /// One life of a worker.
 struct worker_view {
   worker_id id;
+  /// The last heartbeat, without its rows.
   fleet::worker_beat beat;
   /// When the last heartbeat came whose answer still counts; `known` is false
   /// before the first heartbeat.
@@ -111,6 +112,9 @@
     /// False when it was sent so long ago that the worker drops its answer:
     /// what it tells is true all the same, but nothing may be granted on it.
     bool timely = false;
+    /// It tells the difference to one that was not the last taken in here, so
+    /// that nothing of it was.
+    bool wants_whole = false;
   };
   arrival heard(const fleet::worker_beat& beat);
   void erase(const worker_id& id) { views_.erase(id); }
@@ -125,6 +129,8 @@
 
  private:
   bool is_timely(worker_view& it, const fleet::worker_beat& beat) const;
+  static void take_whole(worker_view& it, const fleet::worker_beat& beat);
+  static bool take_difference(worker_view& it, const fleet::worker_beat& beat);
 
   lease_settings leases_;
   clock_source& clock_;
