Connections between boxes that fall silent are replaced

A call that timed out left its connection as it was; only bytes unacknowledged for 2 s closed it, which a silence that takes them does not show. A proxy on loopback that swallows bytes showed it: no later call came through, and raft's one-way frames never did (silent_connection_is_replaced and silent_connection_that_only_sends_is_replaced, red before).

Change: a connection on which something was sent, and nothing came since, is asked for a sign of life after two looks of 0.2 s, and replaced after six. Looks are counted, not time, so that a box that was held up does not drop its peers. The old one is read on for 3 s, so that answers of a slow peer still come. A handler may close its own connection now without being destroyed while it runs.

Ruled out: shorter TCP_USER_TIMEOUT (the peer's system may acknowledge).

--- a/net/frame-stream.cc
+++ b/net/frame-stream.cc
@@ -59,6 +59,8 @@
 /// Hands on all whole frames; false on bytes that are none.
 bool frame_stream::take_frames() {
   size_t at = 0;
+  // Closing drops the handler, which may be what closes.
+  const frame_handler on_frame = on_frame_;
   while (open_ && in_.size() - at >= detail::prefix_bytes) {
     uint32_t n = 0;
     std::memcpy(&n, in_.data() + at, sizeof(n));
@@ -68,7 +70,7 @@
     const char* body = in_.data() + at + detail::prefix_bytes;
     if (!frame.ParseFromArray(body, static_cast<int>(n))) return false;
     at += detail::prefix_bytes + n;
-    on_frame_(frame);
+    on_frame(frame);
   }
   in_.erase(0, at);
   return true;
--- a/net/peer-mesh.cc
+++ b/net/peer-mesh.cc
@@ -20,6 +20,16 @@
 constexpr milliseconds redial_after{100};
 /// Frames that wait while a connection is being made.
 constexpr size_t most_waiting = 256;
+/// Open connections may fall silent for good: nothing comes and no error tells.
+/// So often a connection on which something was sent, and nothing came since,
+/// is looked at; it is asked for a sign of life, and then replaced. Looks are
+/// counted, not time, so that a box that was held up itself does not take the
+/// others for silent. In all 1.2 s, about an election.
+constexpr milliseconds watch_interval{200};
+constexpr unsigned ping_after = 2;
+constexpr unsigned silent_after = 6;
+/// A silent connection is read for so long yet, as its peer may just be slow.
+constexpr milliseconds retired_for{3'000};
 /// How often calls are looked through for those that took too long.
 constexpr milliseconds sweep_interval{50};
 
@@ -46,6 +56,14 @@
   std::optional<time_point> lost_at;
   std::vector<fleet::fleet_frame> waiting;
   std::map<uint64_t, pending_call> calls;
+  // Looks since something was sent without anything having come.
+  bool awaits = false;
+  unsigned looks = 0;
+  struct retired_stream {
+    stream_pointer stream;
+    time_point until;
+  };
+  std::vector<retired_stream> retired;
 };
 
 peer_mesh::peer_mesh(boost::asio::io_context& io, clock_source& clock,
@@ -55,7 +73,8 @@
       self_(std::move(self)),
       port_(port),
       acceptor_(io),
-      sweep_timer_(io) {}
+      sweep_timer_(io),
+      watch_timer_(io) {}
 
 peer_mesh::~peer_mesh() { close(); }
 
@@ -100,6 +119,11 @@
       [this, weak](const fleet::fleet_frame& frame) {
         const stream_pointer it = weak.lock();
         if (!it) return;
+        if (frame.ping()) {
+          fleet::fleet_frame reply;
+          reply.set_pong(true);
+          return it->send(reply);
+        }
         if (!frame.has_request()) {
           return handlers_.on_message(box_id(frame.from()), frame, it);
         }
@@ -150,14 +174,73 @@
   it.dialling = false;
   if (ec) return lost(to);
   it.stream = std::make_shared<frame_stream>(std::move(it.socket));
+  it.awaits = false;
+  const frame_stream* which = it.stream.get();
   it.stream->start(
       [this, to](const fleet::fleet_frame& frame) { on_frame(to, frame); },
-      [this, to, alive = std::weak_ptr(alive_)] {
-        if (!alive.expired()) lost(to);
+      [this, to, which, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) closed(to, which);
       });
   std::vector<fleet::fleet_frame> waiting;
   waiting.swap(it.waiting);
-  for (const fleet::fleet_frame& frame : waiting) it.stream->send(frame);
+  for (const fleet::fleet_frame& frame : waiting) send_on(it, frame);
+}
+
+void peer_mesh::send_on(link& it, const fleet::fleet_frame& frame) {
+  if (!std::exchange(it.awaits, true)) it.looks = 0;
+  it.stream->send(frame);
+  if (!std::exchange(watching_, true)) watch();
+}
+
+/// Runs only while something is awaited.
+void peer_mesh::watch() {
+  watch_timer_.expires_after(detail::watch_interval);
+  watch_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
+        if (ec || alive.expired()) return;
+        bool left = false;
+        for (auto& [box, it] : links_) {
+          look_at(box, *it);
+          left = left || it->awaits || !it->retired.empty();
+        }
+        watching_ = left;
+        if (left) watch();
+      });
+}
+
+void peer_mesh::look_at(const box_id& to, link& it) {
+  const time_point now = clock_.now();
+  std::vector<stream_pointer> over;
+  std::erase_if(it.retired, [&](const auto& r) {
+    if (r.until > now) return false;
+    over.push_back(r.stream);
+    return true;
+  });
+  for (const stream_pointer& stream : over) stream->close();
+  if (!it.stream || !it.awaits) return;
+  if (++it.looks == detail::ping_after) {
+    fleet::fleet_frame ping;
+    ping.set_ping(true);
+    it.stream->send(ping);
+  }
+  if (it.looks < detail::silent_after) return;
+  log_event("mesh", log_level::warn, "connection-silent")
+      .with("to", to.str())
+      .with("looks", it.looks)
+      .with("calls-waiting", it.calls.size())
+      .with("effect", "another one is made");
+  it.retired.push_back({std::move(it.stream), now + detail::retired_for});
+  it.stream.reset();
+  it.awaits = false;
+  if (!it.dialling) dial(to, it);
+}
+
+/// A connection that was replaced takes nothing with it.
+void peer_mesh::closed(const box_id& to, const frame_stream* which) {
+  link& it = link_to(to);
+  if (it.stream.get() == which) return lost(to);
+  std::erase_if(it.retired,
+                [&](const auto& r) { return r.stream.get() == which; });
 }
 
 /// Calls whose request was never written were not taken.
@@ -165,6 +248,7 @@
   link& it = link_to(to);
   const bool connected = it.stream != nullptr;
   it.stream.reset();
+  it.awaits = false;
   it.lost_at = clock_.now();
   it.waiting.clear();
   std::map<uint64_t, pending_call> calls;
@@ -179,6 +263,8 @@
 
 void peer_mesh::on_frame(const box_id& from, const fleet::fleet_frame& frame) {
   link& it = link_to(from);
+  it.awaits = false;
+  if (frame.pong()) return;
   if (!frame.has_response()) {
     return handlers_.on_message(from, frame, it.stream);
   }
@@ -192,7 +278,7 @@
 void peer_mesh::send(const box_id& to, fleet::fleet_frame frame) {
   frame.set_from(self_.str());
   link& it = link_to(to);
-  if (it.stream) return it.stream->send(frame);
+  if (it.stream) return send_on(it, frame);
   if (!it.dialling) {
     const bool wait =
         it.lost_at && clock_.now() - *it.lost_at < detail::redial_after;
@@ -261,10 +347,12 @@
   boost::system::error_code ec;
   acceptor_.close(ec);
   sweep_timer_.cancel();
+  watch_timer_.cancel();
   for (auto& [box, it] : links_) {
     it->timer.cancel();
     it->socket.close(ec);
     if (it->stream) it->stream->close();
+    for (const auto& r : it->retired) r.stream->close();
   }
   const auto guests = std::exchange(guests_, {});
   for (const stream_pointer& it : guests) it->close();
--- a/net/peer-mesh.h
+++ b/net/peer-mesh.h
@@ -18,8 +18,8 @@
 
 namespace kestrelreel {
 
-/// Connects on demand, one connection to each box. Messages may be lost; a
-/// call is answered exactly once.
+/// Connects on demand, one connection to each box; one that falls silent is
+/// replaced. Messages may be lost; a call is answered exactly once.
 class peer_mesh {
  public:
   using respond_function = std::function<void(fleet::fleet_response)>;
@@ -62,6 +62,10 @@
   void dial(const box_id& to, link& it);
   void dialled(const box_id& to, boost::system::error_code ec);
   void lost(const box_id& to);
+  void closed(const box_id& to, const frame_stream* which);
+  void send_on(link& it, const fleet::fleet_frame& frame);
+  void watch();
+  void look_at(const box_id& to, link& it);
   void on_frame(const box_id& from, const fleet::fleet_frame& frame);
   void sweep();
 
@@ -72,10 +76,12 @@
   handlers handlers_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_timer_;
+  boost::asio::steady_timer watch_timer_;
   std::map<box_id, std::unique_ptr<link>> links_;
   std::set<stream_pointer> guests_;
   uint64_t next_call_ = 1;
   bool sweeping_ = false;
+  bool watching_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
