A run that is being given up on is not ordered again

The worker had not called until its lease was over and had never got the order; its loss was on its way into the log when it called again, and the answer ordered run 1 once more. A log that takes longer (a disk after a power loss) widens the gap.

Change: while runs of a worker are being given up on, its answers start nothing. Test: run_that_is_given_up_on_is_not_ordered_again, red before.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -257,7 +257,8 @@
 /// A start goes out again with each answer until the worker lists the run.
 void fleet_controller::add_starts(worker_view& it,
                                   fleet::worker_orders& orders) {
-  if (it.beat.draining()) return;
+  // While runs there are being given up on, none of them may begin after all.
+  if (it.beat.draining() || losing_.contains(it.id)) return;
   for (const run_key& run : book_.runs_on(it.id)) {
     if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
       continue;
--- a/fleet/slow-leader-test.cc
+++ b/fleet/slow-leader-test.cc
@@ -50,6 +50,7 @@
   unsigned election = 0;
   unsigned crash = 0;
   unsigned slow_reading = 0;
+  unsigned cut = 0;
 };
 
 class slow_world;
@@ -102,6 +103,8 @@
   uint64_t out = 0;
   time_point sent{};
   time_point next_call{};
+  // Until then what it sends and is sent is held up or lost.
+  time_point cut_until{};
 };
 
 struct answer {
@@ -202,6 +205,10 @@
     if (happens(faults_.crash)) {
       begin_life(machines_[chance_.draw(places)]);
     }
+    if (happens(faults_.cut)) {
+      machines_[chance_.draw(places)].cut_until =
+          clock_.now() + chance_.up_to(milliseconds(9'000));
+    }
     if (happens(faults_.election) && leader_ >= 0) {
       // What is under way lasts up to some point.
       const size_t kept = chance_.draw(proposed_.size() + 1);
@@ -332,7 +339,12 @@
     for (const fleet::run_end& end : it.ended) *beat.add_ended() = end;
     const bool astray = leader_ < 0 || chance_.one_in(30);
     const int b = astray ? static_cast<int>(chance_.draw(boxes)) : leader_;
-    boxes_[b].inbox.push_back({clock_.now() + chance_.delay(), beat});
+    time_point arrives = clock_.now() + chance_.delay();
+    if (clock_.now() < it.cut_until) {
+      if (chance_.one_in(2)) return;
+      arrives = std::max(arrives, it.cut_until);
+    }
+    boxes_[b].inbox.push_back({arrives, beat});
   }
 
   void deliver() {
@@ -343,6 +355,7 @@
         continue;
       }
       for (machine& m : machines_) {
+        if (clock_.now() < m.cut_until) continue;
         if (m.id == it.worker && m.out == it.sequence) take(m, it.orders);
       }
     }
@@ -437,7 +450,8 @@
       {"elections in series", 0, 150, 0, 0},
       {"reading behind", 0, 0, 0, 2},
       {"machines that begin anew", 0, 0, 100, 0},
-      {"all of it", 300, 300, 200, 3},
+      {"workers cut off", 0, 0, 0, 0, 60},
+      {"all of it", 300, 300, 200, 3, 150},
   };
   for (const faults& it : rows) {
     int done = 0;
--- a/fleet/worker-life-test.cc
+++ b/fleet/worker-life-test.cc
@@ -72,6 +72,31 @@
   CHECK_FALSE(runs_at("a"));
 }
 
+TEST(worker_life, run_that_is_given_up_on_is_not_ordered_again) {
+  world.configure();
+  world.submit(7, {test_world::make_step(1)});
+  world.beat("a");
+  // The worker never got the order.
+  world.workers["a"].clear_running();
+  for (int i = 0; i < 42; ++i) {
+    world.clock.advance(milliseconds(100));
+    world.controller.tick();
+  }
+  LONGS_EQUAL(1, world.log.proposed.size());
+  fleet::worker_beat& it = world.workers["a"];
+  it.set_sequence(it.sequence() + 1);
+  it.set_clock_ms(static_cast<uint64_t>(world.clock.now().count()));
+  fleet::fleet_request request;
+  *request.mutable_beat() = it;
+  int starts = 0;
+  world.controller.request(request, [&](const fleet::fleet_response& r) {
+    starts = r.orders().starts_size();
+  });
+  // The loss is not committed yet.
+  world.controller.settle();
+  LONGS_EQUAL(0, starts);
+}
+
 TEST(worker_life, only_a_life_that_lasts_ends_another_of_its_machine) {
   struct row {
     const char* name;
