What settings a process holds is told by a digest

Cause: night staff could not tell which boxes carry a changed settings file: the line of a reload named the number of seeds only, and nothing was told at start.

Change: `settings-read` at start and on each change, with the digest (CRC-32) of the text and of the one before; `settings-faulty` with the digest of the text that was refused and of the one in force. Only the seeds take effect while the process runs, as before.

`status` of listed clusters and a metric do not show the digest yet.

--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -1,5 +1,6 @@
 #include "config/seeded-settings.h"
 
+#include <boost/crc.hpp>
 #include <utility>
 
 #include "base/text.h"
@@ -87,6 +88,12 @@
   return false;
 }
 
+std::string settings_digest(std::string_view text) {
+  boost::crc_32_type crc;
+  crc.process_bytes(text.data(), text.size());
+  return str_cat(absl::Hex(crc.checksum(), absl::kZeroPad8));
+}
+
 std::variant<seeded_settings, std::vector<config_fault>> parse_seeded_settings(
     const std::string& file, std::string_view text) {
   fault_collector faults(file, text);
--- a/config/seeded-settings.h
+++ b/config/seeded-settings.h
@@ -53,6 +53,10 @@
 /// member `seeds`.
 bool is_seeded(std::string_view text);
 
+/// What tells one settings text from another at a glance: 8 hex digits, a
+/// CRC-32 of its bytes. Night staff compare it between boxes.
+std::string settings_digest(std::string_view text);
+
 /// Reads and checks a file's text; gives all of its faults when it has any.
 std::variant<seeded_settings, std::vector<config_fault>> parse_seeded_settings(
     const std::string& file, std::string_view text);
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -37,6 +37,7 @@
 
 seeded_process::seeded_process(std::string file, seeded_settings settings)
     : file_(std::move(file)),
+      held_(file_),
       signals_(context_.io),
       stop_timer_(context_.io),
       reload_timer_(context_.io) {
@@ -69,6 +70,7 @@
       .with("box", context_.settings.box.str())
       .with("name", context_.settings.name)
       .with("data-centre", context_.settings.data_centre.str());
+  reload();
   context_.io.run();
   registry_.stop();
   log_event(detail::process_name, log_level::info, "stopped")
@@ -110,18 +112,24 @@
         .with("file", file_);
     return;
   }
-  if (text == text_) return;
-  text_ = text;
-  auto parsed = parse_seeded_settings(file_, text);
-  if (const auto* faults = std::get_if<std::vector<config_fault>>(&parsed)) {
-    log_event(detail::process_name, log_level::error, "settings-faulty")
-        .with("fault", faults->front().str())
-        .with("effect", "the earlier ones stay in force");
-    return;
+  const std::string before = held_.digest();
+  switch (held_.offer(text)) {
+    case held_settings::outcome::unchanged:
+      return;
+    case held_settings::outcome::faulty:
+      log_event(detail::process_name, log_level::error, "settings-faulty")
+          .with("digest", held_.offered_digest())
+          .with("in-force", before)
+          .with("fault", held_.faults().front().str())
+          .with("effect", "the earlier ones stay in force");
+      return;
+    case held_settings::outcome::accepted:
+      break;
   }
-  auto& fresh = std::get<seeded_settings>(parsed);
-  context_.settings.seeds = std::move(fresh.seeds);
+  context_.settings.seeds = held_.settings().seeds;
   log_event(detail::process_name, log_level::info, "settings-read")
+      .with("digest", held_.digest())
+      .with("before", before)
       .with("seeds", context_.settings.seeds.size());
   if (auto* it = registry_.find<entry_gateway_service>(seeded_names::gateway)) {
     it->learn_seeds();
--- a/daemon/seeded-process.h
+++ b/daemon/seeded-process.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "config/held-settings.h"
 #include "daemon/repeating-timer.h"
 #include "daemon/seeded-context.h"
 #include "kernel/service.h"
@@ -30,7 +31,7 @@
   void end_when_idle();
 
   std::string file_;
-  std::string text_;
+  held_settings held_;
   seeded_context context_;
   service_registry registry_;
   boost::asio::signal_set signals_;
