--- /dev/null
+++ b/fleet/controller-reviews.cc
@@ -0,0 +1,169 @@
+// Which runs the leader gives up on: of workers that fell silent, of machines
+// that live on under another identity, and those that never began.
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+#include "fleet/controller.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "controller";
+/// The controller's tick is due every 100 ms. One that comes so late shows that
+/// the process was held up.
+constexpr milliseconds late_tick{400};
+/// So many late heartbeats between two ticks, and more than one in so many,
+/// show that heartbeats wait unread.
+constexpr unsigned least_late_beats = 3;
+constexpr unsigned late_share = 5;
+/// Reading what waits takes less: a worker drops a call after a second.
+constexpr milliseconds catch_up{1'000};
+/// Two heartbeats of a live worker lie this far apart; those of a dead one that
+/// a cut held up arrive together.
+constexpr milliseconds sure_life{800};
+/// A worker calls at least this often; one that was silent for longer, while
+/// another life of its machine was heard, is over.
+constexpr milliseconds dead_after{2'000};
+/// Silent workers without runs are forgotten after this.
+constexpr milliseconds forget_worker_after{60'000};
+/// A run ordered so long ago, and not there, never will be: covers the time
+/// after which a worker drops an answer, and the way of its next heartbeat.
+constexpr milliseconds order_margin{500};
+/// Such runs are looked for with a pause of so much for each worker: a look at
+/// a worker's runs takes 2 us.
+constexpr std::chrono::microseconds unstarted_pause{400};
+/// Workers by the machine and by the address that they name.
+using place_index =
+    std::unordered_multimap<std::string_view, const worker_view*>;
+
+place_index make_place_index(const std::map<worker_id, worker_view>& views) {
+  place_index index;
+  for (const auto& [id, it] : views) {
+    if (!it.beat.machine().empty()) index.emplace(it.beat.machine(), &it);
+    if (!it.beat.address().empty()) index.emplace(it.beat.address(), &it);
+  }
+  return index;
+}
+
+/// True when `o` shows that the life of `it`, at the same place, is over: a
+/// heartbeat of an earlier life may arrive after the next one began, even
+/// several at once after a cut. Only a worker that has called for a while, by
+/// our clock and by its own, and since the other fell silent, lives.
+bool outlives(const worker_view& o, const worker_view& it) {
+  const milliseconds own_clock(
+      static_cast<int64_t>(o.beat.clock_ms() - o.first_clock_ms));
+  return o.id != it.id && o.told > it.told && o.first_told > it.first_told &&
+         o.told - std::max(o.first_told, it.told) >= sure_life &&
+         own_clock >= sure_life;
+}
+
+bool is_replaced(const place_index& index, const worker_view& it) {
+  for (const std::string& place : {it.beat.machine(), it.beat.address()}) {
+    const auto [first, last] = index.equal_range(place);
+    const bool found = std::any_of(first, last, [&](const auto& other) {
+      return outlives(*other.second, it);
+    });
+    if (found) return true;
+  }
+  return false;
+}
+
+}  // namespace detail
+
+void fleet_controller::propose_loss(worker_view& it,
+                                    const std::vector<run_key>& runs,
+                                    bool gone) {
+  fleet::fleet_command command;
+  fleet::worker_loss& loss = *command.mutable_loss();
+  loss.set_worker(it.id.str());
+  loss.set_gone(gone);
+  for (const run_key& run : runs) {
+    fleet::run_loss& lost = *loss.add_runs();
+    *lost.mutable_task() = to_ref(run.task);
+    lost.set_run(static_cast<uint32_t>(run.run.value()));
+    const auto row = it.rows.find(run);
+    if (row != it.rows.end()) lost.set_saved(row->second.saved());
+  }
+  add_command(std::move(command));
+  losing_[it.id].insert(runs.begin(), runs.end());
+  log_event(detail::service_name, log_level::info, "runs-over")
+      .with("worker", it.id.str())
+      .with("runs", runs.size())
+      .with("cause", gone ? "its life is over" : "lease over or never begun")
+      .with("silent-ms", (clock_.now() - it.told).count());
+}
+
+/// A leader that was held up, or reads heartbeats late, has ends and signs of
+/// life waiting unread: until it has caught up it calls nobody silent. Else it
+/// gives up on runs that ended well and starts their tasks again.
+void fleet_controller::review_pace_of_reading() {
+  const time_point now = clock_.now();
+  const bool held_up = now - ticked_at_ > detail::late_tick;
+  const bool reads_late = late_beats_ >= detail::least_late_beats &&
+                          late_beats_ * detail::late_share > beats_;
+  ticked_at_ = now;
+  beats_ = late_beats_ = 0;
+  if (!held_up && !reads_late) return;
+  if (!is_behind()) {
+    log_event(detail::service_name, log_level::warn, "reads-late")
+        .with("cause", held_up ? "held up" : "late heartbeats")
+        .with("effect", "no worker is given up on meanwhile");
+  }
+  behind_until_ = now + detail::catch_up;
+}
+
+bool fleet_controller::is_behind() const {
+  return clock_.now() < behind_until_;
+}
+
+/// Gives up on what runs at workers whose lease is over, or whose machine has
+/// begun another life.
+void fleet_controller::review_silence() {
+  if (is_behind()) return;
+  const time_point now = clock_.now();
+  std::optional<detail::place_index> places;
+  for (auto& entry : workers_.views()) {
+    const worker_id& id = entry.first;
+    worker_view& it = entry.second;
+    if (now - it.told < detail::dead_after || losing_.contains(id)) continue;
+    const auto& alive = book_.runs_on(id);
+    const bool over = now >= it.over_at;
+    if (!places) places = detail::make_place_index(workers_.views());
+    const bool gone = (it.known && detail::is_replaced(*places, it)) ||
+                      now >= it.over_at + detail::forget_worker_after;
+    if (!gone && (!over || alive.empty())) continue;
+    propose_loss(it, {alive.begin(), alive.end()}, gone);
+  }
+}
+
+/// A run that must not start any more, and that its worker does not list long
+/// after the last order for it, is over.
+void fleet_controller::review_unstarted(worker_view& it) {
+  if (!it.known || losing_.contains(it.id)) return;
+  const milliseconds sure =
+      workers_.leases().answer_limit + detail::order_margin;
+  std::vector<run_key> over;
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (it.rows.contains(run) || lists_end(it, run)) continue;
+    if (!should_stop(run) && !it.beat.draining()) continue;
+    const auto sent = it.sent.find(run);
+    const time_point last = std::max(
+        led_since_, sent == it.sent.end() ? time_point{} : sent->second);
+    if (it.heard - last > sure) over.push_back(run);
+  }
+  if (!over.empty()) propose_loss(it, over, false);
+}
+
+void fleet_controller::review_all_unstarted() {
+  const time_point now = clock_.now();
+  const auto pause = detail::unstarted_pause * workers_.views().size();
+  if (now - unstarted_reviewed_at_ < pause) return;
+  unstarted_reviewed_at_ = now;
+  for (auto& [id, it] : workers_.views()) review_unstarted(it);
+}
+
+}  // namespace kestrelreel
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -137,17 +137,19 @@
   void add_paces(worker_view& it, fleet::worker_orders& orders);
   bool should_stop(const run_key& run) const;
   bool lists_end(const worker_view& it, const run_key& run) const;
+  void move_held();
+  void plan();
+  void forget_old_jobs();
+  void applied_starts(const fleet::run_starts& starts);
+
+  // What is given up on: controller-reviews.cc.
   void propose_loss(worker_view& it, const std::vector<run_key>& runs,
                     bool gone);
-  void move_held();
   void review_pace_of_reading();
   bool is_behind() const;
   void review_silence();
   void review_all_unstarted();
   void review_unstarted(worker_view& it);
-  void plan();
-  void forget_old_jobs();
-  void applied_starts(const fleet::run_starts& starts);
 
   controller_settings settings_;
   clock_source& clock_;
--- /dev/null
+++ b/fleet/slow-test-world.h
@@ -0,0 +1,436 @@
+// Leaders, workers and links that are arbitrarily slow, on a virtual clock. A
+// run of it tells the first promise that was broken: a task that runs twice,
+// one that starts after its good end was taken note of, a worker over its room.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet-test-world.h"
+
+namespace kestrelreel::slow {
+
+constexpr milliseconds step_time{20};
+constexpr milliseconds answer_limit{1'000};
+constexpr milliseconds beat_pause{200};
+constexpr int boxes = 3;
+constexpr int places = 8;
+constexpr uint64_t worker_room = 4;
+
+/// Draws of one seed.
+class chance {
+ public:
+  explicit chance(uint64_t seed) : engine_(seed) {}
+  bool one_in(unsigned n) { return draw(n) == 0; }
+  uint64_t draw(uint64_t n) { return engine_() % n; }
+  milliseconds up_to(milliseconds n) {
+    return milliseconds(static_cast<int64_t>(draw(n.count() + 1)));
+  }
+  /// Mostly short, now and then seconds.
+  milliseconds delay() {
+    return one_in(40) ? up_to(milliseconds(4'000)) : up_to(milliseconds(30));
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+/// What goes wrong in a run, each one step in so many; 0: never.
+struct faults {
+  const char* name;
+  unsigned stall = 0;
+  unsigned election = 0;
+  unsigned crash = 0;
+  unsigned slow_reading = 0;
+  unsigned cut = 0;
+};
+
+class slow_world;
+
+/// The log as one box sees it.
+class box_log final : public fleet_log {
+ public:
+  box_log(slow_world& world, int box) : world_(world), box_(box) {}
+  bool may_decide() override;
+  term_number term() const override;
+  absl::Status propose(const fleet::fleet_command& command) override;
+
+ private:
+  slow_world& world_;
+  int box_;
+};
+
+struct heartbeat {
+  time_point arrives;
+  fleet::worker_beat beat;
+};
+
+struct box {
+  std::unique_ptr<box_log> log;
+  std::unique_ptr<fleet_controller> controller;
+  std::vector<heartbeat> inbox;
+  time_point stalled_until{};
+  size_t applied = 0;
+};
+
+struct live_run {
+  run_key run;
+  time_point ends;
+};
+
+/// One machine and its present life.
+struct machine {
+  std::string id;
+  std::string address;
+  uint64_t sequence = 0;
+  time_point born{};
+  std::map<run_key, time_point> runs;
+  std::vector<fleet::run_end> ended;
+  uint64_t end_number = 0;
+  std::map<task_key, run_number> highest;
+  time_point lease{};
+  uint64_t fence = 0;
+  int calls = 0;
+  // The call that is out.
+  uint64_t out = 0;
+  time_point sent{};
+  time_point next_call{};
+  // Until then what it sends and is sent is held up or lost.
+  time_point cut_until{};
+};
+
+struct answer {
+  time_point arrives;
+  std::string worker;
+  uint64_t sequence;
+  fleet::worker_orders orders;
+};
+
+/// A good end, at the life of a worker that lists it.
+struct good_end {
+  std::string worker;
+  uint64_t number;
+  time_point at;
+  bool noted = false;
+  bool lapsed = false;
+  bool started_after = false;
+};
+
+class slow_world {
+ public:
+  slow_world(uint64_t seed, faults f) : chance_(seed), faults_(f) {
+    for (int i = 0; i < boxes; ++i) {
+      box& it = boxes_.emplace_back();
+      it.log = std::make_unique<box_log>(*this, i);
+      it.controller = std::make_unique<fleet_controller>(
+          test_world::make_settings(), clock_, *it.log, metrics_);
+    }
+    for (int i = 0; i < places; ++i) {
+      machine& it = machines_.emplace_back();
+      it.address = "place" + std::to_string(i);
+      begin_life(it);
+    }
+    elect(0);
+    fleet::fleet_command config;
+    *config.mutable_config() = test_world::make_config(1, 99);
+    committed_.push_back(config);
+  }
+
+  /// Empty, or what went wrong first.
+  std::string run(milliseconds length) {
+    const time_point end = clock_.now() + length;
+    while (clock_.now() < end && wrong_.empty()) one_step();
+    return wrong_;
+  }
+  int done() const { return done_; }
+
+  bool leads(int b) const { return leader_ == b; }
+  uint64_t term() const { return term_; }
+  absl::Status propose(int b, const fleet::fleet_command& command) {
+    if (leader_ != b) return absl::UnavailableError("does not lead");
+    proposed_.push_back(
+        {clock_.now() + chance_.up_to(milliseconds(60)), command});
+    return absl::OkStatus();
+  }
+
+ private:
+  struct proposal {
+    time_point lasts;
+    fleet::fleet_command command;
+  };
+
+  void fail(const std::string& what) {
+    if (wrong_.empty()) {
+      wrong_ = what + " at " + std::to_string(clock_.now().count());
+    }
+  }
+
+  void begin_life(machine& it) {
+    const std::string address = it.address;
+    it = machine();
+    it.address = address;
+    it.id = "w" + std::to_string(++lives_);
+    it.born = clock_.now();
+  }
+
+  bool happens(unsigned one_in) { return one_in > 0 && chance_.one_in(one_in); }
+
+  void one_step() {
+    clock_.advance(step_time);
+    disturb();
+    if (leader_ < 0 && clock_.now() >= elect_at_) {
+      elect(static_cast<int>(chance_.draw(boxes)));
+    }
+    commit();
+    for (int i = 0; i < boxes; ++i) run_box(i);
+    submit();
+    for (machine& it : machines_) live(it);
+    deliver();
+  }
+
+  void disturb() {
+    for (box& it : boxes_) {
+      if (happens(faults_.stall)) {
+        it.stalled_until = clock_.now() + chance_.up_to(milliseconds(5'000));
+      }
+    }
+    if (happens(faults_.crash)) {
+      begin_life(machines_[chance_.draw(places)]);
+    }
+    if (happens(faults_.cut)) {
+      machines_[chance_.draw(places)].cut_until =
+          clock_.now() + chance_.up_to(milliseconds(9'000));
+    }
+    if (happens(faults_.election) && leader_ >= 0) {
+      // What is under way lasts up to some point.
+      const size_t kept = chance_.draw(proposed_.size() + 1);
+      for (size_t i = 0; i < kept; ++i) {
+        committed_.push_back(proposed_[i].command);
+      }
+      proposed_.clear();
+      leader_ = -1;
+      elect_at_ = clock_.now() + chance_.up_to(milliseconds(1'500));
+    }
+  }
+
+  void elect(int b) {
+    leader_ = b;
+    ++term_;
+  }
+
+  void commit() {
+    while (!proposed_.empty() && proposed_.front().lasts <= clock_.now()) {
+      committed_.push_back(proposed_.front().command);
+      proposed_.pop_front();
+    }
+  }
+
+  /// A box that is held up does nothing; then its timers and what waits for it
+  /// come in any order.
+  void run_box(int b) {
+    box& it = boxes_[b];
+    if (clock_.now() < it.stalled_until) return;
+    if (leader_ != b) it.controller->leads(false);
+    while (it.applied < committed_.size()) {
+      it.controller->applied(committed_[it.applied++]);
+    }
+    if (leader_ == b) it.controller->leads(true);
+    if (chance_.one_in(2)) it.controller->tick();
+    read(it);
+    if (ticks_++ % 5 == 0) it.controller->tick();
+    it.controller->settle();
+  }
+
+  void read(box& it) {
+    size_t most = 20;
+    if (faults_.slow_reading > 0) most = chance_.draw(faults_.slow_reading);
+    std::vector<heartbeat> rest;
+    for (heartbeat& h : it.inbox) {
+      if (h.arrives > clock_.now() || most == 0) {
+        rest.push_back(std::move(h));
+        continue;
+      }
+      --most;
+      fleet::fleet_request request;
+      *request.mutable_beat() = h.beat;
+      it.controller->request(
+          request, [this, worker = h.beat.worker(),
+                    sequence = h.beat.sequence()](fleet::fleet_response r) {
+            answers_.push_back(
+                {clock_.now() + chance_.delay(), worker, sequence, r.orders()});
+          });
+    }
+    it.inbox = std::move(rest);
+  }
+
+  void submit() {
+    if (leader_ < 0 || !chance_.one_in(15)) return;
+    fleet::step_spec step =
+        test_world::make_step(static_cast<uint32_t>(1 + chance_.draw(3)));
+    step.set_estimate_ms(400);
+    boxes_[leader_].controller->request(
+        test_world::make_submit(++jobs_, {step}),
+        [](const fleet::fleet_response&) {});
+  }
+
+  void end_run(machine& it, const run_key& run, fleet::run_outcome outcome) {
+    it.runs.erase(run);
+    fleet::run_end& end = it.ended.emplace_back();
+    end.set_number(++it.end_number);
+    *end.mutable_task() = to_ref(run.task);
+    end.set_run(static_cast<uint32_t>(run.run.value()));
+    end.set_outcome(outcome);
+    if (outcome != fleet::run_done) return;
+    ++done_;
+    good_[run.task].push_back({it.id, end.number(), clock_.now()});
+  }
+
+  void live(machine& it) {
+    const time_point now = clock_.now();
+    for (auto run = it.runs.begin(); run != it.runs.end();) {
+      const auto next = std::next(run);
+      if (now >= run->second) end_run(it, run->first, fleet::run_done);
+      run = next;
+    }
+    if (now >= it.lease) lapse(it);
+    if (it.out != 0 && now - it.sent >= answer_limit) {
+      it.out = 0;
+      it.next_call = now;
+      ++it.calls;
+    }
+    if (it.out == 0 && now >= it.next_call) call(it);
+  }
+
+  void lapse(machine& it) {
+    const auto runs = it.runs;
+    for (const auto& [run, ends] : runs) end_run(it, run, fleet::run_lapsed);
+    for (auto& [task, ends] : good_) {
+      for (good_end& end : ends) {
+        if (end.worker == it.id && !end.noted) end.lapsed = true;
+      }
+    }
+  }
+
+  void call(machine& it) {
+    it.out = ++it.sequence;
+    it.sent = clock_.now();
+    fleet::worker_beat beat;
+    beat.set_worker(it.id);
+    beat.set_pool("pool");
+    beat.set_address(it.address);
+    beat.set_sequence(it.sequence);
+    beat.set_clock_ms(static_cast<uint64_t>((clock_.now() - it.born).count()) +
+                      1);
+    beat.set_cpu_milli(worker_room * 1'000);
+    beat.set_memory_mb(10'000);
+    for (const auto& [run, ends] : it.runs) {
+      fleet::running_row& row = *beat.add_running();
+      *row.mutable_task() = to_ref(run.task);
+      row.set_run(static_cast<uint32_t>(run.run.value()));
+    }
+    for (const fleet::run_end& end : it.ended) *beat.add_ended() = end;
+    const bool astray = leader_ < 0 || chance_.one_in(30);
+    const int b = astray ? static_cast<int>(chance_.draw(boxes)) : leader_;
+    time_point arrives = clock_.now() + chance_.delay();
+    if (clock_.now() < it.cut_until) {
+      if (chance_.one_in(2)) return;
+      arrives = std::max(arrives, it.cut_until);
+    }
+    boxes_[b].inbox.push_back({arrives, beat});
+  }
+
+  void deliver() {
+    std::vector<answer> rest;
+    for (answer& it : answers_) {
+      if (it.arrives > clock_.now()) {
+        rest.push_back(std::move(it));
+        continue;
+      }
+      for (machine& m : machines_) {
+        if (clock_.now() < m.cut_until) continue;
+        if (m.id == it.worker && m.out == it.sequence) take(m, it.orders);
+      }
+    }
+    answers_ = std::move(rest);
+  }
+
+  void take(machine& it, const fleet::worker_orders& orders) {
+    it.out = 0;
+    it.next_call = clock_.now() + beat_pause;
+    if (clock_.now() - it.sent >= answer_limit) return;
+    if (orders.hold_ms() == 0 || orders.fence() < it.fence) return;
+    it.fence = orders.fence();
+    it.lease = std::max(
+        it.lease,
+        it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
+    note_ends(it, orders.last_end());
+    for (const auto& stop : orders.stops()) {
+      const run_key run{to_key(stop.task()), run_number(stop.run())};
+      it.highest[run.task] = std::max(it.highest[run.task], run.run);
+      if (it.runs.contains(run)) end_run(it, run, fleet::run_stopped);
+    }
+    for (const auto& start : orders.starts()) begin(it, start);
+  }
+
+  void note_ends(machine& it, uint64_t last) {
+    std::erase_if(it.ended, [&](const auto& e) { return e.number() <= last; });
+    for (auto& [task, ends] : good_) {
+      for (good_end& end : ends) {
+        if (end.worker != it.id || end.number > last || end.noted) continue;
+        end.noted = true;
+        if (end.started_after && !end.lapsed) {
+          fail(to_text(task) + " ended well, was started again, then noted");
+        }
+      }
+    }
+  }
+
+  void begin(machine& it, const fleet::start_order& start) {
+    const run_key run{to_key(start.task()), run_number(start.run())};
+    if (run.run <= it.highest[run.task]) return;
+    it.highest[run.task] = run.run;
+    for (const machine& other : machines_) {
+      for (const auto& [live, ends] : other.runs) {
+        if (live.task == run.task) fail(to_text(run.task) + " runs twice");
+      }
+    }
+    for (good_end& end : good_[run.task]) {
+      if (end.noted && !end.lapsed) fail(to_text(run.task) + " was done");
+      end.started_after = true;
+    }
+    if (it.runs.size() >= worker_room) fail(it.id + " is over its room");
+    it.runs[run] =
+        clock_.now() + milliseconds(100) + chance_.up_to(milliseconds(3'000));
+  }
+
+  chance chance_;
+  faults faults_;
+  test_clock clock_;
+  metrics_registry metrics_;
+  std::deque<box> boxes_;
+  std::deque<machine> machines_;
+  std::vector<answer> answers_;
+  std::deque<proposal> proposed_;
+  std::vector<fleet::fleet_command> committed_;
+  std::map<task_key, std::vector<good_end>> good_;
+  int leader_ = -1;
+  uint64_t term_ = 0;
+  time_point elect_at_{};
+  uint64_t jobs_ = 0;
+  int lives_ = 0;
+  int done_ = 0;
+  unsigned ticks_ = 0;
+  std::string wrong_;
+};
+
+inline bool box_log::may_decide() { return world_.leads(box_); }
+inline term_number box_log::term() const { return term_number(world_.term()); }
+inline absl::Status box_log::propose(const fleet::fleet_command& command) {
+  return world_.propose(box_, command);
+}
+
+}  // namespace kestrelreel::slow
