Requests that may have run are asked for again while their caller waits

Cause: a request whose leader fell silent was answered 504 after 1 s, though its caller waits 3 s.

Change: what surely was not taken is given up after 0.2 s as before, so that its caller turns elsewhere; what may have been is asked for again each 0.05 s until its caller gives up.

--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/text.h"
+#include "daemon/ask-again.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -11,10 +12,6 @@
 
 constexpr const char* gateway_name = "gateway";
 constexpr milliseconds gateway_tick{250};
-/// How long a request may wait for a leader: below a quarter of the shortest
-/// objective that the users name (1,000 ms).
-constexpr milliseconds patience{200};
-constexpr milliseconds try_again_after{50};
 /// A leader answers within three syncs and two ways, some 50 ms, and within a
 /// second with a slow disk; one that takes longer is given up on, so that the
 /// caller learns it at once and asks again.
@@ -131,10 +128,10 @@
 void entry_gateway_service::try_later(const std::shared_ptr<question>& it,
                                       fleet::fleet_response last) {
   const time_point now = context_.clock.now();
-  const bool again = now + detail::try_again_after < it->deadline &&
-                     now - it->asked < detail::patience;
-  if (again) {
-    it->timer.expires_after(detail::try_again_after);
+  const unsettled_request request{now - it->asked, it->deadline - now,
+                                  it->may_have_run};
+  if (asks_again(request)) {
+    it->timer.expires_after(ask_pause);
     return it->timer.async_wait([this, it](boost::system::error_code ec) {
       if (!ec) try_now(it);
     });
