A worker is granted 7 s at most

The platform allows a hold of 10 s there and we granted all of it, so that nothing of the worker could start elsewhere for 10.3 s; the users bear 9.

Change: no grant beyond 7 s, whatever the platform allows. Sites with 6 s stay. Test: serving_task_of_a_lost_worker_is_away_for_less_than_9_s, red with 10 s.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -52,7 +52,7 @@
 
 controller_settings fleet_record_service::make_controller_settings() const {
   controller_settings settings;
-  settings.leases.hold = context_.settings.worker_hold;
+  settings.leases.hold = std::min(context_.settings.worker_hold, longest_hold);
   settings.beat_address = context_.settings.control_address;
   settings.wall_clock_ms = wall_clock_ms;
   return settings;
--- a/fleet/worker-life-test.cc
+++ b/fleet/worker-life-test.cc
@@ -72,6 +72,60 @@
   CHECK_FALSE(runs_at("a"));
 }
 
+// Seen on serasis-kume-grown scale-1, seed 191991633556, with a hold of 10 s.
+TEST(worker_life, serving_task_of_a_lost_worker_is_away_for_less_than_9_s) {
+  test_clock clock;
+  test_log log;
+  metrics_registry metrics;
+  controller_settings settings = test_world::make_settings();
+  settings.leases.hold = longest_hold;
+  fleet_controller controller(settings, clock, log, metrics);
+  controller.leads(true);
+  const auto commit = [&] {
+    controller.settle();
+    while (!log.proposed.empty()) {
+      controller.applied(log.proposed.front());
+      log.proposed.pop_front();
+      controller.settle();
+    }
+  };
+  fleet::fleet_request config;
+  *config.mutable_put_config() = test_world::make_config(1);
+  controller.request(config, [](const auto&) {});
+  commit();
+  fleet::step_spec step = test_world::make_step(1);
+  step.set_long_running(true);
+  controller.request(test_world::make_submit(7, {step}), [](const auto&) {});
+  commit();
+  uint64_t sequence = 0;
+  const auto starts_at = [&](const char* worker) {
+    fleet::fleet_request request;
+    fleet::worker_beat& beat = *request.mutable_beat();
+    beat.set_worker(worker);
+    beat.set_pool("pool");
+    beat.set_cpu_milli(4'000);
+    beat.set_memory_mb(1'000);
+    beat.set_sequence(++sequence);
+    int n = 0;
+    controller.request(request, [&](const fleet::fleet_response& r) {
+      n = r.orders().starts_size();
+    });
+    commit();
+    return n;
+  };
+  LONGS_EQUAL(1, starts_at("a"));
+  milliseconds away{0};
+  while (starts_at("b") == 0) {
+    clock.advance(milliseconds(100));
+    away += milliseconds(100);
+    controller.tick();
+    commit();
+    CHECK_TRUE(away < milliseconds(8'500));
+  }
+  // Not before the grant is surely over.
+  CHECK_TRUE(away >= milliseconds(7'140));
+}
+
 TEST(worker_life, run_that_is_given_up_on_is_not_ordered_again) {
   world.configure();
   world.submit(7, {test_world::make_step(1)});
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -15,6 +15,13 @@
 
 namespace kestrelreel {
 
+/// A worker is granted no more than this, whatever the platform allows: what
+/// ran on one that is lost for good starts elsewhere only when the grant is
+/// over, and the users bear a serving task away for 9 s where there is room. 7
+/// s with 2 % of drift, two heartbeats, a commit and an order stay below 8.5;
+/// cuts of up to 6.5 s are survived.
+constexpr milliseconds longest_hold{7'000};
+
 /// How long workers may run on without a word, and what clocks may do.
 struct lease_settings {
   /// What each answer grants, from when the worker sent its heartbeat.
