What waits for a connection may be more than it takes: no crash, and a bound

Sending them closed the connection in the middle of the loop, which went on.

Change: the loop ends with the connection; at most 32 MB wait for one. Test: more_than_a_connection_takes_may_wait_for_it, which ends the test program on the code before.

--- a/net/peer-mesh-test.cc
+++ b/net/peer-mesh-test.cc
@@ -164,6 +164,19 @@
   }));
 }
 
+// Seen on serasis-kume-large trouble-3: what waited for a connection to a box
+// that had been frozen, snapshots among it, was more than a connection may
+// queue.
+TEST(peer_mesh, more_than_a_connection_takes_may_wait_for_it) {
+  constexpr size_t large = 30 << 20;
+  for (int i = 0; i < 4; ++i) {
+    fleet::fleet_frame frame;
+    frame.mutable_raft()->mutable_snapshot()->set_data(std::string(large, 'x'));
+    near_mesh.send(box_id(far_ip), std::move(frame));
+  }
+  CHECK_TRUE(eventually([&] { return ask(far_ip) == fleet::fleet_ok; }));
+}
+
 TEST(peer_mesh, idle_connection_stays) {
   silent_proxy proxy(io);
   CHECK_TRUE(eventually([&] { return ask(proxy_ip) == fleet::fleet_ok; }));
--- a/net/peer-mesh.cc
+++ b/net/peer-mesh.cc
@@ -18,8 +18,10 @@
 constexpr milliseconds dial_limit{700};
 /// A lost connection is not dialled again before.
 constexpr milliseconds redial_after{100};
-/// Frames that wait while a connection is being made.
+/// Frames that wait while a connection is being made, and their bytes: some
+/// snapshots of the largest state, and well below what a connection queues.
 constexpr size_t most_waiting = 256;
+constexpr size_t most_waiting_bytes = 32 << 20;
 /// Open connections may fall silent for good: nothing comes and no error tells.
 /// So often a connection on which something was sent, and nothing came since,
 /// is looked at; it is asked for a sign of life, and then replaced. Looks are
@@ -55,6 +57,7 @@
   bool dialling = false;
   std::optional<time_point> lost_at;
   std::vector<fleet::fleet_frame> waiting;
+  size_t waiting_bytes = 0;
   std::map<uint64_t, pending_call> calls;
   // Looks since something was sent without anything having come.
   bool awaits = false;
@@ -183,7 +186,12 @@
       });
   std::vector<fleet::fleet_frame> waiting;
   waiting.swap(it.waiting);
-  for (const fleet::fleet_frame& frame : waiting) send_on(it, frame);
+  it.waiting_bytes = 0;
+  for (const fleet::fleet_frame& frame : waiting) {
+    // Sending may lose the connection.
+    if (!it.stream) return;
+    send_on(it, frame);
+  }
 }
 
 void peer_mesh::send_on(link& it, const fleet::fleet_frame& frame) {
@@ -251,6 +259,7 @@
   it.awaits = false;
   it.lost_at = clock_.now();
   it.waiting.clear();
+  it.waiting_bytes = 0;
   std::map<uint64_t, pending_call> calls;
   calls.swap(it.calls);
   for (auto& [id, call] : calls) {
@@ -285,7 +294,10 @@
     if (wait) return;
     dial(to, it);
   }
-  if (it.waiting.size() < detail::most_waiting) {
+  const size_t n = frame.ByteSizeLong();
+  if (it.waiting.size() < detail::most_waiting &&
+      it.waiting_bytes + n <= detail::most_waiting_bytes) {
+    it.waiting_bytes += n;
     it.waiting.push_back(std::move(frame));
   }
 }
