--- a/fleet/worker-life-test.cc
+++ b/fleet/worker-life-test.cc
@@ -72,7 +72,7 @@
   CHECK_FALSE(runs_at("a"));
 }
 
-// Seen on serasis-kume-grown scale-1, seed 191991633556, with a hold of 10 s.
+// Users bear a serving task away for 9 s where there is room.
 TEST(worker_life, serving_task_of_a_lost_worker_is_away_for_less_than_9_s) {
   test_clock clock;
   test_log log;
--- a/net/peer-mesh-test.cc
+++ b/net/peer-mesh-test.cc
@@ -164,9 +164,8 @@
   }));
 }
 
-// Seen on serasis-kume-large trouble-3: what waited for a connection to a box
-// that had been frozen, snapshots among it, was more than a connection may
-// queue.
+// What waits for a connection to a box that was frozen, snapshots among it, may
+// be more than a connection queues.
 TEST(peer_mesh, more_than_a_connection_takes_may_wait_for_it) {
   constexpr size_t large = 30 << 20;
   for (int i = 0; i < 4; ++i) {
