--- a/fleet/slow-test-world.h
+++ b/fleet/slow-test-world.h
@@ -277,7 +277,7 @@
         [](const fleet::fleet_response&) {});
   }
 
-  void end_run(machine& it, const run_key& run, fleet::run_outcome outcome) {
+  void end_run(machine& it, run_key run, fleet::run_outcome outcome) {
     it.runs.erase(run);
     fleet::run_end& end = it.ended.emplace_back();
     end.set_number(++it.end_number);
