Log: a frequent event can't crowd out a rare one

Change: each event has a quarter of the lines at most, and the last quarter of what is left is kept for events that are rare; the total stays 400 a second. What was left out is told by event, once a second. A line that won't be written isn't put together.

--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -6,11 +6,13 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
+
+#include "base/clock.h"
 #include "base/text.h"
+#include "kernel/log-limiter.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -34,43 +36,27 @@
 constexpr uint64_t most_lines_per_s = 400;
 
 /// Passes a line through the process's limiter; tells first what was left out.
-bool may_write(const log4cplus::Logger& logger) {
+bool may_write(const log4cplus::Logger& logger, std::string_view event) {
   static std::mutex guard;
   static log_limiter limiter(most_lines_per_s);
   static const steady_clock clock;
-  uint64_t dropped = 0;
+  std::string dropped;
+  bool allowed = false;
   {
     const std::lock_guard<std::mutex> lock(guard);
-    if (!limiter.allow(clock.now())) return false;
-    dropped = limiter.take_dropped();
+    const time_point now = clock.now();
+    allowed = limiter.allow(event, now);
+    dropped = limiter.take_dropped(now);
   }
-  if (dropped > 0) {
+  if (!dropped.empty()) {
     logger.log(log4cplus::WARN_LOG_LEVEL,
-               str_cat("event=lines-dropped count=", dropped));
+               str_cat("event=lines-dropped events=", quote_value(dropped)));
   }
-  return true;
+  return allowed;
 }
 
 }  // namespace detail
 
-bool log_limiter::allow(time_point now) {
-  constexpr uint64_t thousandths = 1'000;
-  const uint64_t most = lines_per_s_ * thousandths;
-  const uint64_t passed =
-      begun_
-          ? static_cast<uint64_t>(std::max<int64_t>((now - last_).count(), 0))
-          : thousandths;
-  credit_ = std::min(most, credit_ + passed * lines_per_s_);
-  last_ = now;
-  begun_ = true;
-  if (credit_ < thousandths) {
-    ++dropped_;
-    return false;
-  }
-  credit_ -= thousandths;
-  return true;
-}
-
 absl::Status configure_log(std::string_view level, log_target target) {
   static const std::map<std::string_view, log_level> levels{
       {"debug", log_level::debug},
@@ -94,19 +80,19 @@
   return absl::OkStatus();
 }
 
+/// A line that won't be written isn't put together either.
 log_event::log_event(std::string_view service, log_level level,
                      std::string_view event)
     : service_(service), level_(level) {
-  log4cplus::Logger logger = log4cplus::Logger::getInstance(service_);
-  enabled_ = logger.isEnabledFor(detail::to_level(level));
+  const log4cplus::Logger logger = log4cplus::Logger::getInstance(service_);
+  enabled_ = logger.isEnabledFor(detail::to_level(level)) &&
+             (level == log_level::error || detail::may_write(logger, event));
   if (enabled_) line_ = str_cat("event=", quote_value(event));
 }
 
 log_event::~log_event() {
   if (!enabled_) return;
   const log4cplus::Logger logger = log4cplus::Logger::getInstance(service_);
-  const bool write = level_ == log_level::error || detail::may_write(logger);
-  if (!write) return;
   logger.log(detail::to_level(level_), line_);
 }
 
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -1,13 +1,10 @@
 // Structured logs: one line of key=value pairs for each event.
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "absl/status/status.h"
-#include "base/clock.h"
 #include "base/text.h"
 
 namespace kestrelreel {
@@ -23,25 +20,6 @@
 absl::Status configure_log(std::string_view level,
                            log_target target = log_target::standard_error);
 
-/// Bounds the lines of a log: so many a second on average, and as many again
-/// at once. What is left out is counted. Not thread-safe.
-class log_limiter {
- public:
-  explicit log_limiter(uint64_t lines_per_s) : lines_per_s_(lines_per_s) {}
-  /// True when a line may be written at that time.
-  bool allow(time_point now);
-  /// Lines left out since the last call.
-  uint64_t take_dropped() { return std::exchange(dropped_, 0); }
-
- private:
-  uint64_t lines_per_s_;
-  uint64_t dropped_ = 0;
-  // Thousandths of a line that may still be written.
-  uint64_t credit_ = 0;
-  time_point last_{};
-  bool begun_ = false;
-};
-
 /// One event. It is written when the object ends:
 /// `log_event("record", log_level::info, "leader-elected").with("term", 3);`
 class log_event {
