Cancelled jobs: their runs end in time, whoever ordered them and when

The worker is worse than the users' ones: it carries an order out even after it was told to stop that run. Each answer must hold the stop until the run is gone, it must be gone 3.9 s after the cancel or the late start, and nothing of the job may start, there or on a worker with room.

--- /dev/null
+++ b/fleet/cancelled-test-world.h
@@ -0,0 +1,191 @@
+// What the tests of cancelled jobs share: control boxes that follow each other
+// as leaders, and workers that carry orders out late.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/beat-intake.h"
+#include "fleet/fleet-test-world.h"
+
+namespace kestrelreel::cancelled {
+
+constexpr uint64_t job = 7;
+/// The least that the users allow: from a cancel's acknowledgement, or a late
+/// start after it, until the run is told to stop; and for stopping itself.
+constexpr milliseconds cancel_limit{3'000};
+constexpr milliseconds stop_limit{900};
+constexpr milliseconds call_pause{200};
+/// An answer that travels longer is dropped.
+constexpr milliseconds late_answer{900};
+/// Longer than a run is waited for that may never have begun or is silent, so
+/// that a job outlives those runs.
+constexpr milliseconds keep_jobs{5'000};
+/// Longer than what the leader waits for before it gives up on a run, or
+/// forgets a job.
+constexpr milliseconds long_enough{12'000};
+
+enum class road { direct, intake };
+
+/// Two control boxes that share a log, one of which leads, and a third one that
+/// takes in heartbeats.
+class boxes {
+ public:
+  boxes() {
+    controller_settings settings = test_world::make_settings();
+    settings.keep_jobs = keep_jobs;
+    settings.wall_clock_ms = [this] {
+      return static_cast<uint64_t>(clock.now().count());
+    };
+    for (test_log& log : logs_) {
+      controllers_.push_back(
+          std::make_unique<fleet_controller>(settings, clock, log, metrics_));
+    }
+    elect(0);
+    fleet::fleet_request config;
+    *config.mutable_put_config() = test_world::make_config(1);
+    ask(config);
+  }
+
+  fleet_controller& leader() { return *controllers_[leads_]; }
+  test_log& log() { return logs_[leads_]; }
+  const job_book& book() { return leader().book(); }
+  size_t leads() const { return leads_; }
+
+  /// What the earlier leader had not got recorded is lost.
+  void elect(size_t box) {
+    leader().leads(false);
+    log().proposed.clear();
+    leads_ = box;
+    log().leader_term = ++term_;
+    leader().leads(true);
+    commit();
+  }
+  /// Records what was proposed, on both boxes.
+  void record() {
+    while (!log().proposed.empty()) {
+      const fleet::fleet_command command = log().proposed.front();
+      log().proposed.pop_front();
+      for (const auto& it : controllers_) it->applied(command);
+    }
+  }
+  void commit() {
+    constexpr int most_rounds = 20;
+    for (int i = 0; i < most_rounds; ++i) {
+      record();
+      leader().settle();
+      if (log().proposed.empty()) return;
+    }
+  }
+  void pass(milliseconds n) {
+    constexpr milliseconds step{100};
+    for (milliseconds at{0}; at < n; at += step) {
+      clock.advance(step);
+      leader().tick();
+      commit();
+    }
+  }
+  fleet::fleet_response ask(const fleet::fleet_request& request) {
+    last_ = fleet::fleet_response();
+    leader().request(
+        request, [this](fleet::fleet_response it) { last_ = std::move(it); });
+    commit();
+    return last_;
+  }
+  /// A heartbeat that the third box passes on.
+  fleet::fleet_response pass_on(const fleet::worker_beat& beat) {
+    last_ = fleet::fleet_response();
+    intake_.take(beat,
+                 [this](fleet::fleet_response it) { last_ = std::move(it); });
+    while (intake_.has_news()) {
+      answers_.clear_answers();
+      leader().take_beats(
+          intake_.collect(std::to_string(leads_)),
+          [this](const auto& it) { *answers_.add_answers() = it; });
+      commit();
+      intake_.answered(answers_);
+    }
+    return last_;
+  }
+
+  test_clock clock;
+
+ private:
+  metrics_registry metrics_;
+  test_log logs_[2];
+  std::vector<std::unique_ptr<fleet_controller>> controllers_;
+  size_t leads_ = 0;
+  uint64_t term_ = 0;
+  beat_intake intake_{{}, clock};
+  fleet::beat_answers answers_;
+  fleet::fleet_response last_;
+};
+
+/// A worker that may carry out an order late, even one that it was told to stop
+/// in between.
+class slow_worker {
+ public:
+  slow_worker(boxes& all, const char* name, road calls_by, uint64_t cpu_milli)
+      : boxes_(all), road_(calls_by) {
+    beat_.set_worker(name);
+    beat_.set_pool("pool");
+    beat_.set_cpu_milli(cpu_milli);
+    beat_.set_memory_mb(1'000);
+  }
+
+  fleet::worker_orders call() {
+    beat_.set_sequence(beat_.sequence() + 1);
+    beat_.set_clock_ms(static_cast<uint64_t>(boxes_.clock.now().count()));
+    if (road_ == road::intake) return boxes_.pass_on(beat_).orders();
+    fleet::fleet_request request;
+    *request.mutable_beat() = beat_;
+    return boxes_.ask(request).orders();
+  }
+  void begin(const fleet::start_order& order) {
+    fleet::running_row& row = *beat_.add_running();
+    *row.mutable_task() = order.task();
+    row.set_run(order.run());
+  }
+  /// Takes in an answer: what it is told to stop ends a while later.
+  void obey(const fleet::worker_orders& orders) {
+    while (!beat_.ended().empty() &&
+           beat_.ended(0).number() <= orders.last_end()) {
+      beat_.mutable_ended()->DeleteSubrange(0, 1);
+    }
+    if (orders.stops().empty() || stopped_at_) return;
+    stopped_at_ = boxes_.clock.now();
+  }
+  /// All that it runs was told to stop: it ends once that took its time.
+  void end_stopped() {
+    if (!stopped_at_ || boxes_.clock.now() - *stopped_at_ < stop_limit) return;
+    for (const fleet::running_row& row : beat_.running()) {
+      fleet::run_end& end = *beat_.add_ended();
+      end.set_number(++ends_);
+      *end.mutable_task() = row.task();
+      end.set_run(row.run());
+      end.set_outcome(fleet::run_stopped);
+    }
+    beat_.clear_running();
+  }
+  void drain() { beat_.set_draining(true); }
+  /// A call of it that the test made by hand.
+  void skip_call() { beat_.set_sequence(beat_.sequence() + 1); }
+  const fleet::worker_beat& beat() const { return beat_; }
+
+ private:
+  boxes& boxes_;
+  road road_;
+  fleet::worker_beat beat_;
+  uint64_t ends_ = 0;
+  std::optional<time_point> stopped_at_;
+};
+
+inline fleet::fleet_request cancel_call() {
+  fleet::fleet_request request = test_world::make_call(job);
+  request.mutable_job()->set_cancel(true);
+  return request;
+}
+
+}  // namespace kestrelreel::cancelled
