A cancel of a job that is not recorded yet goes through the log

Cause: the leader told "no such job" from its book, while the job waited to be proposed or recorded; the job ran on after its cancel had been acknowledged (410). Change: the cancel of an unknown job is a log entry too, behind the job's if that came first, and its answer is what the entry came to: still "no such job" where nobody sent one. Costs an entry in the next batch for each cancel of an unknown job. A job on its way into another queue under the same identity would be cancelled too; jobs in the book still are not.

--- a/fleet/cancel-before-job-test.cc
+++ b/fleet/cancel-before-job-test.cc
@@ -1,8 +1,9 @@
-// A caller left before its job was acknowledged: the job was at the leader and
-// not recorded yet when its cancel came in. The cancel was answered "no such
-// job" at once, the job was recorded a moment later, and its task started and
-// ran to its end. Settled by the order at the leader: job proposed, cancel
-// answered, job recorded, start sent.
+// A cancel that reached the leader while its job was not recorded yet, as when
+// a caller leaves before its job is acknowledged, was answered "no such job" at
+// once. The job was recorded a moment later, its task started and nobody
+// stopped it: the answer was read off the book, which a job enters only when
+// its entry is applied. Found by reading; settled by this test, in which the
+// status was "no such job" and the task was started in both rows.
 #include <CppUTest/TestHarness.h>
 
 #include <optional>
@@ -33,8 +34,8 @@
     all.leader().request(cancel_call(),
                          [&](const auto& r) { status = r.status(); });
     all.commit();
-    CHECK_TRUE_TEXT(status == fleet::fleet_ok, it.name);
     LONGS_EQUAL_TEXT(0, worker.call().starts_size(), it.name);
+    CHECK_TRUE_TEXT(status == fleet::fleet_ok, it.name);
     LONGS_EQUAL_TEXT(fleet::job_canceled,
                      all.book().find(job_number(job))->phase, it.name);
   }
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -154,14 +154,20 @@
                                  const fleet::queue_route& queue,
                                  const respond_function& respond) {
   const job_entry* job = book_.find(number);
-  if (job == nullptr || job->queue.name() != queue.name()) {
+  if (job != nullptr && job->queue.name() != queue.name()) {
     return respond(make_response(fleet::fleet_no_job, "no-such-job"));
   }
-  if (!job->live()) return respond(make_response(fleet::fleet_ok));
+  if (job != nullptr && !job->live()) {
+    return respond(make_response(fleet::fleet_ok));
+  }
+  // A job that is not in the book may be on its way into it: the log tells
+  // whether it came first. Else it runs after its caller was told that it
+  // doesn't exist.
   fleet::fleet_command command;
   command.mutable_cancel()->add_jobs(number.value());
   log_event(detail::service_name, log_level::info, "job-cancel")
-      .with("job", to_text(number));
+      .with("job", to_text(number))
+      .with("recorded", job == nullptr ? "no" : "yes");
   commit(std::move(command), respond);
 }
 
