A whole heartbeat that was asked for counts under its sequence

Cause: a difference whose readings fit none of the known rows had its sequence noted before it was refused. What the leader then asked for came under the same sequence and was called overtaken (no orders, no stops), and the next difference was taken in on top of rows that were wrong: a run that the leader does not know of is not stopped. Change: the sequence before it is noted, so that the whole heartbeat counts and a difference to the refused one does not.

The test fails without the change (the next difference is taken in) and passes with it.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -145,6 +145,41 @@
   }
 }
 
+// A difference whose readings fit none of the rows was answered by asking for
+// all, and what then came under the same sequence was called overtaken: the
+// worker got no orders, and the next difference was taken in on top of wrong
+// rows, so that a run could go on that the leader knew nothing of. The sequence
+// had been noted before the readings were looked at. Found by reading; no
+// intake has sent such a difference.
+TEST(beat_intake, all_of_what_was_asked_for_counts_under_the_same_sequence) {
+  add_row(1, 5);
+  call();
+  pass_on();
+  answer(beat.sequence());
+  fleet::worker_beat unfit;
+  unfit.set_worker("a");
+  unfit.set_base(beat.sequence());
+  unfit.set_sequence(beat.sequence() + 1);
+  for (int i = 0; i < 3; ++i) {
+    unfit.add_readings(1);
+    unfit.add_percents(1);
+  }
+  CHECK_TRUE(table.heard(unfit).wants_whole);
+  // Nothing builds on it.
+  fleet::worker_beat next = unfit;
+  next.set_base(unfit.sequence());
+  next.set_sequence(unfit.sequence() + 1);
+  next.clear_readings();
+  next.clear_percents();
+  CHECK_TRUE(table.heard(next).wants_whole);
+  add_row(2, 6);
+  call();
+  LONGS_EQUAL(unfit.sequence(), beat.sequence());
+  const auto arrival = table.heard(beat);
+  CHECK_TRUE(arrival.view != nullptr);
+  check_rows(*arrival.view);
+}
+
 TEST(beat_intake, another_leader_is_told_all_of_what_waits) {
   add_row(1, 5);
   call();
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -85,6 +85,8 @@
   if (!differs) {
     take_whole(it, beat);
   } else if (!take_difference(it, beat)) {
+    // All of it comes under the same sequence, and nothing may build on this.
+    it.beat.set_sequence(beat.sequence() - 1);
     return {nullptr, false, true};
   }
   if (!it.known) {
