Log: ends, acknowledgements and lives of workers; starts by answer

Cause: after a leave in order the log could not tell whether the end came before or after it, nor what was acknowledged to whom. One line for each start was three quarters of what was written, so the lines that matter were among those left out.

Change: one line for a heartbeat with new ends (numbers, outcomes, in time or late), for an acknowledgement that moves, for an end that counted for nothing as another run had begun, for a life that nobody told of and for a difference without its base; starts take one line for each answer. The book tells which ends it did not count. Answers to workers move to a file of their own.

No behaviour changes.

--- /dev/null
+++ b/fleet/controller-orders.cc
@@ -0,0 +1,162 @@
+// What the leader answers to the workers' heartbeats.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/text.h"
+#include "fleet/controller.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "controller";
+/// Tasks named in one log line, so that lines stay short.
+constexpr size_t most_named = 32;
+
+/// The runs of the orders, such as `TASK/1,TASK/2`; a long list is cut off.
+std::string name_starts(const fleet::worker_orders& orders) {
+  std::string out;
+  size_t n = 0;
+  for (const fleet::start_order& it : orders.starts()) {
+    if (n++ == most_named) return str_cat(out, ",...");
+    str_append(out, out.empty() ? "" : ",", to_text(to_key(it.task())), "/",
+               it.run());
+  }
+  return out;
+}
+
+}  // namespace detail
+
+bool fleet_controller::lists_end(const worker_view& it,
+                                 const run_key& run) const {
+  const auto& ended = it.beat.ended();
+  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
+    return to_key(end.task()) == run.task && run_number(end.run()) == run.run;
+  });
+}
+
+/// True when the run should no longer be alive.
+bool fleet_controller::should_stop(const run_key& run) const {
+  const task_entry* task = book_.find(run.task);
+  return moving_.contains(run) || task == nullptr ||
+         task->phase != task_phase::running || task->run != run.run;
+}
+
+bool fleet_controller::answer_is_due(const worker_view& it) const {
+  if (clock_.now() - it.asked >= settings_.answer_wait) return true;
+  return it.proposed.empty() && it.end_proposed <= book_.last_end(it.id);
+}
+
+void fleet_controller::answer(worker_view& it) {
+  fleet::fleet_response response;
+  response.set_status(fleet::fleet_ok);
+  *response.mutable_orders() = orders_for(it);
+  workers_.granted(it);
+  std::exchange(it.respond, nullptr)(std::move(response));
+}
+
+milliseconds fleet_controller::next_beat(const worker_view& it) const {
+  constexpr uint64_t ms_per_s = 1'000;
+  const bool busy = !it.rows.empty() || !book_.live().empty();
+  const milliseconds wished = busy ? settings_.busy_beat : settings_.idle_beat;
+  const uint64_t share =
+      workers_.views().size() * ms_per_s / settings_.beats_per_s;
+  return std::max(wished, milliseconds(static_cast<int64_t>(share)));
+}
+
+fleet::worker_orders fleet_controller::orders_for(worker_view& it) {
+  fleet::worker_orders orders;
+  const auto hold = workers_.leases().hold.count();
+  orders.set_hold_ms(static_cast<uint64_t>(hold));
+  orders.set_last_end(book_.last_end(it.id));
+  orders.set_fence(log_.term().value());
+  if (workers_.views().size() <= settings_.direct_workers) {
+    orders.set_beat_at(settings_.beat_address);
+  }
+  orders.set_next_beat_ms(static_cast<uint64_t>(next_beat(it).count()));
+  add_starts(it, orders);
+  add_stops(it, orders);
+  add_paces(it, orders);
+  log_orders(it, orders);
+  return orders;
+}
+
+/// What is acknowledged when it moves, and the starts, in one line each: a line
+/// for each start was three quarters of the leader's log.
+void fleet_controller::log_orders(worker_view& it,
+                                  const fleet::worker_orders& orders) const {
+  if (it.end_told != orders.last_end()) {
+    it.end_told = orders.last_end();
+    log_event(detail::service_name, log_level::info, "ends-acknowledged")
+        .with("worker", it.id.str())
+        .with("sequence", it.beat.sequence())
+        .with("last", it.end_told);
+  }
+  if (orders.starts_size() == 0) return;
+  log_event(detail::service_name, log_level::info, "starts-sent")
+      .with("worker", it.id.str())
+      .with("sequence", it.beat.sequence())
+      .with("count", orders.starts_size())
+      .with("runs", detail::name_starts(orders));
+}
+
+/// A start goes out again with each answer until the worker lists the run.
+void fleet_controller::add_starts(worker_view& it,
+                                  fleet::worker_orders& orders) {
+  // While runs there are being given up on, none of them may begin after all.
+  if (it.beat.draining() || losing_.contains(it.id)) return;
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
+      continue;
+    }
+    const task_entry& task = *book_.find(run.task);
+    fleet::start_order& start = *orders.add_starts();
+    *start.mutable_task() = to_ref(run.task);
+    start.set_run(static_cast<uint32_t>(run.run.value()));
+    start.set_text(book_.find(run.task.job)->spec.text());
+    start.set_saved(task.saved);
+    it.sent[run] = clock_.now();
+  }
+}
+
+void fleet_controller::add_stops(worker_view& it,
+                                 fleet::worker_orders& orders) {
+  const auto add = [&](const run_key& run) {
+    fleet::stop_order& stop = *orders.add_stops();
+    *stop.mutable_task() = to_ref(run.task);
+    stop.set_run(static_cast<uint32_t>(run.run.value()));
+  };
+  for (const run_key& run : book_.runs_on(it.id)) {
+    if (should_stop(run) && !lists_end(it, run)) add(run);
+  }
+  // What runs there without being recorded was given up on.
+  for (const auto& [run, row] : it.rows) {
+    if (!book_.runs_on(it.id).contains(run)) add(run);
+  }
+}
+
+void fleet_controller::add_paces(worker_view& it,
+                                 fleet::worker_orders& orders) {
+  for (const auto& [run, row] : it.rows) {
+    const fleet::step_spec* step = book_.find_step(run.task);
+    if (step == nullptr || !step->fills()) continue;
+    const auto told = it.paces.find(run);
+    const auto wanted = it.pace.find(run);
+    if (wanted == it.pace.end()) continue;
+    if (told == it.paces.end() && wanted->second == full_pace) continue;
+    if (told != it.paces.end() && told->second == wanted->second) continue;
+    it.paces[run] = wanted->second;
+    fleet::pace_order& pace = *orders.add_paces();
+    *pace.mutable_task() = to_ref(run.task);
+    pace.set_run(static_cast<uint32_t>(run.run.value()));
+    pace.set_percent(wanted->second);
+  }
+  std::erase_if(it.paces,
+                [&](const auto& p) { return !it.rows.contains(p.first); });
+  std::erase_if(it.sent, [&](const auto& p) {
+    return !book_.runs_on(it.id).contains(p.first);
+  });
+}
+
+}  // namespace kestrelreel
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -1,5 +1,7 @@
 // The leader and the workers: heartbeats in, orders out.
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "base/text.h"
@@ -15,6 +17,18 @@
 /// How long a worker that fails what it starts is avoided at first.
 constexpr milliseconds first_avoidance{2'000};
 constexpr unsigned most_doublings = 3;
+/// How many ends of each outcome, such as `run_done:2,run_failed:1`.
+std::string count_outcomes(const fleet::worker_report& report) {
+  std::map<std::string, unsigned> counts;
+  for (const fleet::run_end& it : report.ends()) {
+    ++counts[fleet::run_outcome_Name(it.outcome())];
+  }
+  std::string out;
+  for (const auto& [name, n] : counts) {
+    str_append(out, out.empty() ? "" : ",", name, ":", n);
+  }
+  return out;
+}
 
 }  // namespace detail
 
@@ -42,6 +56,14 @@
   ++metrics_.counter("kestrelreel_heartbeats_total");
   const auto [it, timely, wants_whole] = workers_.heard(beat);
   if (wants_whole) {
+    log_event(detail::service_name, log_level::info, "heartbeat-baseless")
+        .with("worker", beat.worker())
+        .with("sequence", beat.sequence())
+        .with("base", beat.base())
+        .with("ends", beat.ended_size())
+        .with("life", workers_.find(worker_id(beat.worker())) == nullptr
+                          ? "unknown"
+                          : "known");
     fleet::fleet_response response = make_response(fleet::fleet_ok, "unknown");
     response.set_wants_whole(true);
     return respond(std::move(response));
@@ -51,7 +73,8 @@
     return respond(make_response(fleet::fleet_ok, "overtaken"));
   }
   ++beats_;
-  take_ends(*it);
+  note_new_life(*it);
+  take_ends(*it, timely);
   // Nobody waits for the answer of a late one any more.
   if (!timely) {
     ++late_beats_;
@@ -77,7 +100,18 @@
   scheduler_.pace(it);
 }
 
-void fleet_controller::take_ends(worker_view& it) {
+/// A life that nobody told of may be new, or over and still on its way here.
+void fleet_controller::note_new_life(const worker_view& it) const {
+  if (it.first_told != it.told || it.over_at != time_point{}) return;
+  log_event(detail::service_name, log_level::info, "life-appears")
+      .with("worker", it.id.str())
+      .with("machine", it.beat.machine())
+      .with("sequence", it.beat.sequence())
+      .with("ends", it.beat.ended_size())
+      .with("draining", it.beat.draining() ? "yes" : "no");
+}
+
+void fleet_controller::take_ends(worker_view& it, bool timely) {
   const uint64_t known = std::max(book_.last_end(it.id), it.end_proposed);
   fleet::fleet_command command;
   fleet::worker_report& report = *command.mutable_report();
@@ -88,7 +122,16 @@
     it.end_proposed = std::max(it.end_proposed, end.number());
     note_end(it, end);
   }
-  if (report.ends_size() > 0) add_command(std::move(command));
+  if (report.ends_size() == 0) return;
+  log_event(detail::service_name, log_level::info, "ends-listed")
+      .with("worker", it.id.str())
+      .with("sequence", it.beat.sequence())
+      .with("first", report.ends(0).number())
+      .with("last", it.end_proposed)
+      .with("outcomes", detail::count_outcomes(report))
+      .with("timely", timely ? "yes" : "no")
+      .with("draining", it.beat.draining() ? "yes" : "no");
+  add_command(std::move(command));
 }
 
 void fleet_controller::note_end(worker_view& it, const fleet::run_end& end) {
@@ -141,123 +184,6 @@
   commit(std::move(command), respond);
 }
 
-bool fleet_controller::lists_end(const worker_view& it,
-                                 const run_key& run) const {
-  const auto& ended = it.beat.ended();
-  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
-    return to_key(end.task()) == run.task && run_number(end.run()) == run.run;
-  });
-}
-
-/// True when the run should no longer be alive.
-bool fleet_controller::should_stop(const run_key& run) const {
-  const task_entry* task = book_.find(run.task);
-  return moving_.contains(run) || task == nullptr ||
-         task->phase != task_phase::running || task->run != run.run;
-}
-
-bool fleet_controller::answer_is_due(const worker_view& it) const {
-  if (clock_.now() - it.asked >= settings_.answer_wait) return true;
-  return it.proposed.empty() && it.end_proposed <= book_.last_end(it.id);
-}
-
-void fleet_controller::answer(worker_view& it) {
-  fleet::fleet_response response;
-  response.set_status(fleet::fleet_ok);
-  *response.mutable_orders() = orders_for(it);
-  workers_.granted(it);
-  std::exchange(it.respond, nullptr)(std::move(response));
-}
-
-milliseconds fleet_controller::next_beat(const worker_view& it) const {
-  constexpr uint64_t ms_per_s = 1'000;
-  const bool busy = !it.rows.empty() || !book_.live().empty();
-  const milliseconds wished = busy ? settings_.busy_beat : settings_.idle_beat;
-  const uint64_t share =
-      workers_.views().size() * ms_per_s / settings_.beats_per_s;
-  return std::max(wished, milliseconds(static_cast<int64_t>(share)));
-}
-
-fleet::worker_orders fleet_controller::orders_for(worker_view& it) {
-  fleet::worker_orders orders;
-  const auto hold = workers_.leases().hold.count();
-  orders.set_hold_ms(static_cast<uint64_t>(hold));
-  orders.set_last_end(book_.last_end(it.id));
-  orders.set_fence(log_.term().value());
-  if (workers_.views().size() <= settings_.direct_workers) {
-    orders.set_beat_at(settings_.beat_address);
-  }
-  orders.set_next_beat_ms(static_cast<uint64_t>(next_beat(it).count()));
-  add_starts(it, orders);
-  add_stops(it, orders);
-  add_paces(it, orders);
-  return orders;
-}
-
-/// A start goes out again with each answer until the worker lists the run.
-void fleet_controller::add_starts(worker_view& it,
-                                  fleet::worker_orders& orders) {
-  // While runs there are being given up on, none of them may begin after all.
-  if (it.beat.draining() || losing_.contains(it.id)) return;
-  for (const run_key& run : book_.runs_on(it.id)) {
-    if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
-      continue;
-    }
-    const task_entry& task = *book_.find(run.task);
-    fleet::start_order& start = *orders.add_starts();
-    *start.mutable_task() = to_ref(run.task);
-    start.set_run(static_cast<uint32_t>(run.run.value()));
-    start.set_text(book_.find(run.task.job)->spec.text());
-    start.set_saved(task.saved);
-    const bool again = !it.sent.emplace(run, clock_.now()).second;
-    it.sent[run] = clock_.now();
-    log_event(detail::service_name, log_level::info, "start-sent")
-        .with("task", to_text(run.task))
-        .with("run", run.run.value())
-        .with("worker", it.id.str())
-        .with("again", again ? "yes" : "no");
-  }
-}
-
-void fleet_controller::add_stops(worker_view& it,
-                                 fleet::worker_orders& orders) {
-  const auto add = [&](const run_key& run) {
-    fleet::stop_order& stop = *orders.add_stops();
-    *stop.mutable_task() = to_ref(run.task);
-    stop.set_run(static_cast<uint32_t>(run.run.value()));
-  };
-  for (const run_key& run : book_.runs_on(it.id)) {
-    if (should_stop(run) && !lists_end(it, run)) add(run);
-  }
-  // What runs there without being recorded was given up on.
-  for (const auto& [run, row] : it.rows) {
-    if (!book_.runs_on(it.id).contains(run)) add(run);
-  }
-}
-
-void fleet_controller::add_paces(worker_view& it,
-                                 fleet::worker_orders& orders) {
-  for (const auto& [run, row] : it.rows) {
-    const fleet::step_spec* step = book_.find_step(run.task);
-    if (step == nullptr || !step->fills()) continue;
-    const auto told = it.paces.find(run);
-    const auto wanted = it.pace.find(run);
-    if (wanted == it.pace.end()) continue;
-    if (told == it.paces.end() && wanted->second == full_pace) continue;
-    if (told != it.paces.end() && told->second == wanted->second) continue;
-    it.paces[run] = wanted->second;
-    fleet::pace_order& pace = *orders.add_paces();
-    *pace.mutable_task() = to_ref(run.task);
-    pace.set_run(static_cast<uint32_t>(run.run.value()));
-    pace.set_percent(wanted->second);
-  }
-  std::erase_if(it.paces,
-                [&](const auto& p) { return !it.rows.contains(p.first); });
-  std::erase_if(it.sent, [&](const auto& p) {
-    return !book_.runs_on(it.id).contains(p.first);
-  });
-}
-
 /// Stops fill tasks that get nowhere where they are and would elsewhere.
 void fleet_controller::move_held() {
   std::erase_if(moving_, [&](const run_key& run) {
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -255,6 +255,7 @@
     if (command.loss().gone()) forget_worker(command.loss().worker());
   }
   if (!leads_) return;
+  log_uncounted(command.report().worker(), result);
   const auto it = waiting_.find(command.token());
   if (it == waiting_.end()) return;
   const respond_function respond = std::move(it->second);
@@ -262,6 +263,20 @@
   respond(make_response(result.status, result.reason));
 }
 
+/// An end that counts for nothing although it is acknowledged shows that its
+/// run was given up on too soon.
+void fleet_controller::log_uncounted(const std::string& worker,
+                                     const job_book::result& result) const {
+  for (const job_book::uncounted_end& it : result.uncounted) {
+    log_event(detail::service_name, log_level::warn, "end-not-counted")
+        .with("task", to_text(it.run.task))
+        .with("run", it.run.run.value())
+        .with("outcome", fleet::run_outcome_Name(it.outcome))
+        .with("present-run", it.present.value())
+        .with("worker", worker);
+  }
+}
+
 void fleet_controller::runs_changed(const std::string& worker) {
   worker_view* it = workers_.find(worker_id(worker));
   if (it != nullptr) it->load_is_old = true;
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -119,27 +119,33 @@
   void runs_changed(const std::string& worker);
   void forget_worker(const std::string& worker);
   void apply_one(const fleet::fleet_command& command);
+  void log_uncounted(const std::string& worker,
+                     const job_book::result& result) const;
   uint64_t pending_of(const fleet::queue_route& queue) const;
 
   // Workers: controller-workers.cc.
   void on_beat(const fleet::worker_beat& beat, const respond_function& respond);
   void on_leave(const worker_id& worker, const respond_function& respond);
-  void take_ends(worker_view& it);
+  void note_new_life(const worker_view& it) const;
+  void take_ends(worker_view& it, bool timely);
   void note_end(worker_view& it, const fleet::run_end& end);
+  void pace_if_due(worker_view& it);
+  void move_held();
+  void plan();
+  void forget_old_jobs();
+  void applied_starts(const fleet::run_starts& starts);
+
+  // Answers to workers: controller-orders.cc.
   bool answer_is_due(const worker_view& it) const;
   void answer(worker_view& it);
-  void pace_if_due(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
   fleet::worker_orders orders_for(worker_view& it);
+  void log_orders(worker_view& it, const fleet::worker_orders& orders) const;
   void add_starts(worker_view& it, fleet::worker_orders& orders);
   void add_stops(worker_view& it, fleet::worker_orders& orders);
   void add_paces(worker_view& it, fleet::worker_orders& orders);
   bool should_stop(const run_key& run) const;
   bool lists_end(const worker_view& it, const run_key& run) const;
-  void move_held();
-  void plan();
-  void forget_old_jobs();
-  void applied_starts(const fleet::run_starts& starts);
 
   // What is given up on: controller-reviews.cc.
   void propose_loss(worker_view& it, const std::vector<run_key>& runs,
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -160,13 +160,19 @@
 job_book::result job_book::report(const fleet::worker_report& report) {
   const worker_id worker(report.worker());
   uint64_t& last = last_ends_[worker];
+  result out;
   for (const fleet::run_end& it : report.ends()) {
     if (it.number() <= last) continue;
     last = it.number();
-    close(worker, {to_key(it.task()), run_number(it.run())}, it.outcome(),
-          it.saved());
+    const run_key run{to_key(it.task()), run_number(it.run())};
+    const task_entry* task = find(run.task);
+    if (task != nullptr && task->run > run.run &&
+        !runs_on(worker).contains(run)) {
+      out.uncounted.push_back({run, it.outcome(), task->run});
+    }
+    close(worker, run, it.outcome(), it.saved());
   }
-  return {};
+  return out;
 }
 
 void job_book::close(const worker_id& worker, const run_key& run,
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -58,10 +58,17 @@
 /// The state. Only `apply` and `load` change it.
 class job_book {
  public:
+  /// An end that changed nothing, as another run has begun.
+  struct uncounted_end {
+    run_key run;
+    fleet::run_outcome outcome;
+    run_number present;
+  };
   /// What an applied command came to.
   struct result {
     fleet::fleet_status status = fleet::fleet_ok;
     std::string reason;
+    std::vector<uncounted_end> uncounted{};
   };
 
   result apply(const fleet::fleet_command& command);
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -64,6 +64,8 @@
   std::map<run_key, time_point> sent;
   /// The last end that was proposed to the log.
   uint64_t end_proposed = 0;
+  /// The last end that an answer acknowledged.
+  uint64_t end_told = 0;
   /// Starts proposed and not yet in the book.
   std::map<run_key, fleet::step_spec> proposed;
   /// What is taken of it by its runs in the book and the proposed ones, unless
