Tests: workers that leave in order, a table and the seeded world

Cause: no test had a worker whose leave goes by another road than its last heartbeat.

The seeded world gets workers that drain and leave; an end listed in a heartbeat that nothing held up is owed to be counted, and one whose lease would be over is owed nothing, as for workers that live. Its parts move to a header of their own.

--- /dev/null
+++ b/fleet/slow-leave-test.cc
@@ -0,0 +1,42 @@
+// Workers leave in order among all that may be slow: no task runs twice, none
+// starts after its good end was taken note of or listed in time.
+//
+// Symptom: "ended well, was started again, then noted": the leave of a worker
+// overtook its last heartbeat (see worker-leave-test). Before, the seeded world
+// knew only workers that crash, so that no run of it met that.
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "fleet/slow-test-world.h"
+
+using namespace kestrelreel;
+using slow::faults;
+using slow::slow_world;
+
+TEST_GROUP(slow_leave){};
+
+TEST(slow_leave, no_task_runs_twice_when_workers_leave) {
+  constexpr uint64_t seeds = 25;
+  constexpr milliseconds length{40'000};
+  const faults rows[] = {
+      {"workers leave", 0, 0, 0, 0, 0, 25},
+      {"and leaders change", 0, 150, 0, 0, 0, 25},
+      {"and leaders are held up", 150, 0, 0, 0, 0, 25},
+      {"and reading is behind", 0, 0, 0, 2, 0, 25},
+      {"and workers are cut off", 0, 0, 0, 0, 60, 25},
+      {"all of it", 300, 300, 200, 3, 150, 50},
+  };
+  for (const faults& it : rows) {
+    int done = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+      slow_world world(seed, it);
+      const std::string wrong = world.run(length);
+      STRCMP_EQUAL_TEXT(
+          "", wrong.c_str(),
+          (std::string(it.name) + ", seed " + std::to_string(seed)).c_str());
+      done += world.done();
+    }
+    CHECK_TRUE_TEXT(done > 0, it.name);
+  }
+}
--- /dev/null
+++ b/fleet/slow-test-parts.h
@@ -0,0 +1,135 @@
+// What the seeded world of slow leaders and workers is made of.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet-test-world.h"
+
+namespace kestrelreel::slow {
+
+constexpr milliseconds step_time{20};
+constexpr milliseconds answer_limit{1'000};
+constexpr milliseconds beat_pause{200};
+/// The longest delay that is not a disturbance.
+constexpr milliseconds quick{30};
+constexpr int boxes = 3;
+constexpr int places = 8;
+constexpr uint64_t worker_room = 4;
+
+/// Draws of one seed.
+class chance {
+ public:
+  explicit chance(uint64_t seed) : engine_(seed) {}
+  bool one_in(unsigned n) { return draw(n) == 0; }
+  uint64_t draw(uint64_t n) { return engine_() % n; }
+  milliseconds up_to(milliseconds n) {
+    return milliseconds(static_cast<int64_t>(draw(n.count() + 1)));
+  }
+  /// Mostly short, now and then seconds.
+  milliseconds delay() {
+    return one_in(40) ? up_to(milliseconds(4'000)) : up_to(milliseconds(30));
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+/// What goes wrong in a run, each one step in so many; 0: never.
+struct faults {
+  const char* name;
+  unsigned stall = 0;
+  unsigned election = 0;
+  unsigned crash = 0;
+  unsigned slow_reading = 0;
+  unsigned cut = 0;
+  unsigned leave = 0;
+};
+
+class slow_world;
+
+/// The log as one box sees it.
+class box_log final : public fleet_log {
+ public:
+  box_log(slow_world& world, int box) : world_(world), box_(box) {}
+  bool may_decide() override;
+  term_number term() const override;
+  absl::Status propose(const fleet::fleet_command& command) override;
+
+ private:
+  slow_world& world_;
+  int box_;
+};
+
+struct heartbeat {
+  time_point arrives;
+  fleet::worker_beat beat;
+};
+
+/// A worker's leave, on a road of its own.
+struct departure {
+  time_point arrives;
+  std::string worker;
+};
+
+struct box {
+  std::unique_ptr<box_log> log;
+  std::unique_ptr<fleet_controller> controller;
+  std::vector<heartbeat> inbox;
+  std::vector<departure> departures;
+  time_point stalled_until{};
+  size_t applied = 0;
+};
+
+struct live_run {
+  run_key run;
+  time_point ends;
+};
+
+/// One machine and its present life.
+struct machine {
+  std::string id;
+  std::string address;
+  uint64_t sequence = 0;
+  time_point born{};
+  std::map<run_key, time_point> runs;
+  std::vector<fleet::run_end> ended;
+  uint64_t end_number = 0;
+  std::map<task_key, run_number> highest;
+  time_point lease{};
+  uint64_t fence = 0;
+  int calls = 0;
+  // The call that is out.
+  uint64_t out = 0;
+  time_point sent{};
+  time_point next_call{};
+  // Until then what it sends and is sent is held up or lost.
+  time_point cut_until{};
+  // When it leaves in order; it drains before.
+  std::optional<time_point> leaves_at;
+};
+
+struct answer {
+  time_point arrives;
+  std::string worker;
+  uint64_t sequence;
+  fleet::worker_orders orders;
+};
+
+/// A good end, at the life of a worker that lists it.
+struct good_end {
+  std::string worker;
+  uint64_t number;
+  time_point at;
+  bool noted = false;
+  bool lapsed = false;
+  bool started_after = false;
+  // It was listed in a heartbeat that nothing held up.
+  bool listed = false;
+};
+
+}  // namespace kestrelreel::slow
--- a/fleet/slow-test-world.h
+++ b/fleet/slow-test-world.h
@@ -6,120 +6,13 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
-#include "fleet/fleet-test-world.h"
+#include "fleet/slow-test-parts.h"
 
 namespace kestrelreel::slow {
 
-constexpr milliseconds step_time{20};
-constexpr milliseconds answer_limit{1'000};
-constexpr milliseconds beat_pause{200};
-constexpr int boxes = 3;
-constexpr int places = 8;
-constexpr uint64_t worker_room = 4;
-
-/// Draws of one seed.
-class chance {
- public:
-  explicit chance(uint64_t seed) : engine_(seed) {}
-  bool one_in(unsigned n) { return draw(n) == 0; }
-  uint64_t draw(uint64_t n) { return engine_() % n; }
-  milliseconds up_to(milliseconds n) {
-    return milliseconds(static_cast<int64_t>(draw(n.count() + 1)));
-  }
-  /// Mostly short, now and then seconds.
-  milliseconds delay() {
-    return one_in(40) ? up_to(milliseconds(4'000)) : up_to(milliseconds(30));
-  }
-
- private:
-  std::mt19937_64 engine_;
-};
-
-/// What goes wrong in a run, each one step in so many; 0: never.
-struct faults {
-  const char* name;
-  unsigned stall = 0;
-  unsigned election = 0;
-  unsigned crash = 0;
-  unsigned slow_reading = 0;
-  unsigned cut = 0;
-};
-
-class slow_world;
-
-/// The log as one box sees it.
-class box_log final : public fleet_log {
- public:
-  box_log(slow_world& world, int box) : world_(world), box_(box) {}
-  bool may_decide() override;
-  term_number term() const override;
-  absl::Status propose(const fleet::fleet_command& command) override;
-
- private:
-  slow_world& world_;
-  int box_;
-};
-
-struct heartbeat {
-  time_point arrives;
-  fleet::worker_beat beat;
-};
-
-struct box {
-  std::unique_ptr<box_log> log;
-  std::unique_ptr<fleet_controller> controller;
-  std::vector<heartbeat> inbox;
-  time_point stalled_until{};
-  size_t applied = 0;
-};
-
-struct live_run {
-  run_key run;
-  time_point ends;
-};
-
-/// One machine and its present life.
-struct machine {
-  std::string id;
-  std::string address;
-  uint64_t sequence = 0;
-  time_point born{};
-  std::map<run_key, time_point> runs;
-  std::vector<fleet::run_end> ended;
-  uint64_t end_number = 0;
-  std::map<task_key, run_number> highest;
-  time_point lease{};
-  uint64_t fence = 0;
-  int calls = 0;
-  // The call that is out.
-  uint64_t out = 0;
-  time_point sent{};
-  time_point next_call{};
-  // Until then what it sends and is sent is held up or lost.
-  time_point cut_until{};
-};
-
-struct answer {
-  time_point arrives;
-  std::string worker;
-  uint64_t sequence;
-  fleet::worker_orders orders;
-};
-
-/// A good end, at the life of a worker that lists it.
-struct good_end {
-  std::string worker;
-  uint64_t number;
-  time_point at;
-  bool noted = false;
-  bool lapsed = false;
-  bool started_after = false;
-};
-
 class slow_world {
  public:
   slow_world(uint64_t seed, faults f) : chance_(seed), faults_(f) {
@@ -189,6 +82,11 @@
     for (int i = 0; i < boxes; ++i) run_box(i);
     submit();
     for (machine& it : machines_) live(it);
+    for (const auto& [worker, lease] : left_) {
+      if (lease <= clock_.now() && clock_.now() < lease + step_time) {
+        lapse_ends(worker);
+      }
+    }
     deliver();
   }
 
@@ -205,6 +103,12 @@
       machines_[chance_.draw(places)].cut_until =
           clock_.now() + chance_.up_to(milliseconds(9'000));
     }
+    if (happens(faults_.leave)) {
+      machine& it = machines_[chance_.draw(places)];
+      if (!it.leaves_at) {
+        it.leaves_at = clock_.now() + chance_.up_to(milliseconds(3'000));
+      }
+    }
     if (happens(faults_.election) && leader_ >= 0) {
       // What is under way lasts up to some point.
       const size_t kept = chance_.draw(proposed_.size() + 1);
@@ -240,11 +144,26 @@
     }
     if (leader_ == b) it.controller->leads(true);
     if (chance_.one_in(2)) it.controller->tick();
+    read_departures(it);
     read(it);
     if (ticks_++ % 5 == 0) it.controller->tick();
     it.controller->settle();
   }
 
+  void read_departures(box& it) {
+    std::vector<departure> rest;
+    for (const departure& d : it.departures) {
+      if (d.arrives > clock_.now()) {
+        rest.push_back(d);
+        continue;
+      }
+      fleet::fleet_request request;
+      request.set_worker_leaves(d.worker);
+      it.controller->request(request, [](const fleet::fleet_response&) {});
+    }
+    it.departures = std::move(rest);
+  }
+
   void read(box& it) {
     size_t most = 20;
     if (faults_.slow_reading > 0) most = chance_.draw(faults_.slow_reading);
@@ -260,6 +179,7 @@
       it.controller->request(
           request, [this, worker = h.beat.worker(),
                     sequence = h.beat.sequence()](fleet::fleet_response r) {
+            if (has_left(worker)) note_ends(worker, r.orders().last_end());
             answers_.push_back(
                 {clock_.now() + chance_.delay(), worker, sequence, r.orders()});
           });
@@ -297,6 +217,7 @@
       run = next;
     }
     if (now >= it.lease) lapse(it);
+    if (it.leaves_at && now >= *it.leaves_at) return leave(it);
     if (it.out != 0 && now - it.sent >= answer_limit) {
       it.out = 0;
       it.next_call = now;
@@ -305,16 +226,35 @@
     if (it.out == 0 && now >= it.next_call) call(it);
   }
 
-  void lapse(machine& it) {
-    const auto runs = it.runs;
-    for (const auto& [run, ends] : runs) end_run(it, run, fleet::run_lapsed);
+  /// An end that was not taken note of while the lease held is owed nothing.
+  void lapse_ends(const std::string& worker) {
     for (auto& [task, ends] : good_) {
       for (good_end& end : ends) {
-        if (end.worker == it.id && !end.noted) end.lapsed = true;
+        if (end.worker == worker && !end.noted) end.lapsed = true;
       }
     }
   }
 
+  /// What runs there dies. Its last heartbeat may still be on its way; the
+  /// next life of the machine begins later.
+  void leave(machine& it) {
+    const int b = leader_ < 0 ? 0 : leader_;
+    boxes_[b].departures.push_back({clock_.now() + chance_.delay(), it.id});
+    left_[it.id] = it.lease;
+    begin_life(it);
+    it.next_call = clock_.now() + chance_.up_to(milliseconds(2'000));
+  }
+
+  bool has_left(const std::string& worker) const {
+    return left_.contains(worker);
+  }
+
+  void lapse(machine& it) {
+    const auto runs = it.runs;
+    for (const auto& [run, ends] : runs) end_run(it, run, fleet::run_lapsed);
+    lapse_ends(it.id);
+  }
+
   void call(machine& it) {
     it.out = ++it.sequence;
     it.sent = clock_.now();
@@ -325,6 +265,7 @@
     beat.set_sequence(it.sequence);
     beat.set_clock_ms(static_cast<uint64_t>((clock_.now() - it.born).count()) +
                       1);
+    beat.set_draining(it.leaves_at.has_value());
     beat.set_cpu_milli(worker_room * 1'000);
     beat.set_memory_mb(10'000);
     for (const auto& [run, ends] : it.runs) {
@@ -340,9 +281,22 @@
       if (chance_.one_in(2)) return;
       arrives = std::max(arrives, it.cut_until);
     }
+    if (!astray) list_ends(it, arrives);
     boxes_[b].inbox.push_back({arrives, beat});
   }
 
+  /// Where nothing else goes wrong, an end in a heartbeat that was not held up
+  /// is owed to be counted, whether the worker lives to hear so or not.
+  void list_ends(const machine& it, time_point arrives) {
+    const bool calm = faults_.stall + faults_.election + faults_.crash +
+                          faults_.slow_reading + faults_.cut ==
+                      0;
+    if (!calm || arrives - clock_.now() > quick) return;
+    for (auto& [task, ends] : good_) {
+      for (good_end& end : ends) end.listed |= end.worker == it.id;
+    }
+  }
+
   void deliver() {
     std::vector<answer> rest;
     for (answer& it : answers_) {
@@ -367,7 +321,7 @@
     it.lease = std::max(
         it.lease,
         it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
-    note_ends(it, orders.last_end());
+    note_ends(it.id, orders.last_end());
     for (const auto& stop : orders.stops()) {
       const run_key run{to_key(stop.task()), run_number(stop.run())};
       it.highest[run.task] = std::max(it.highest[run.task], run.run);
@@ -376,11 +330,15 @@
     for (const auto& start : orders.starts()) begin(it, start);
   }
 
-  void note_ends(machine& it, uint64_t last) {
-    std::erase_if(it.ended, [&](const auto& e) { return e.number() <= last; });
+  void note_ends(const std::string& worker, uint64_t last) {
+    for (machine& it : machines_) {
+      if (it.id != worker) continue;
+      std::erase_if(it.ended,
+                    [&](const auto& e) { return e.number() <= last; });
+    }
     for (auto& [task, ends] : good_) {
       for (good_end& end : ends) {
-        if (end.worker != it.id || end.number > last || end.noted) continue;
+        if (end.worker != worker || end.number > last || end.noted) continue;
         end.noted = true;
         if (end.started_after && !end.lapsed) {
           fail(to_text(task) + " ended well, was started again, then noted");
@@ -400,6 +358,7 @@
     }
     for (good_end& end : good_[run.task]) {
       if (end.noted && !end.lapsed) fail(to_text(run.task) + " was done");
+      if (end.listed && !end.lapsed) fail(to_text(run.task) + " was listed");
       end.started_after = true;
     }
     if (it.runs.size() >= worker_room) fail(it.id + " is over its room");
@@ -417,6 +376,8 @@
   std::deque<proposal> proposed_;
   std::vector<fleet::fleet_command> committed_;
   std::map<task_key, std::vector<good_end>> good_;
+  // Workers that left, and until when the lease of each would have held.
+  std::map<std::string, time_point> left_;
   int leader_ = -1;
   uint64_t term_ = 0;
   time_point elect_at_{};
--- a/support/cmake/packages.cmake
+++ b/support/cmake/packages.cmake
@@ -26,16 +26,22 @@
   endforeach()
 endfunction()
 
-# kestrelreel_test(PACKAGE a-test.cc ...): one test program for the package.
+# kestrelreel_test(PACKAGE [NAME name] a-test.cc ...): one test program for the
+# package, or another one under its own name.
 function(kestrelreel_test package)
-  add_executable(${package}-test ${ARGN}
+  cmake_parse_arguments(arg "" "NAME" "" ${ARGN})
+  set(name ${package})
+  if(arg_NAME)
+    set(name ${arg_NAME})
+  endif()
+  add_executable(${name}-test ${arg_UNPARSED_ARGUMENTS}
                  ${PROJECT_SOURCE_DIR}/support/test-main.cc)
-  target_compile_options(${package}-test PRIVATE ${KESTRELREEL_WARNINGS})
-  target_include_directories(${package}-test PRIVATE ${PROJECT_SOURCE_DIR})
-  target_link_libraries(${package}-test PRIVATE kestrelreel_${package}
+  target_compile_options(${name}-test PRIVATE ${KESTRELREEL_WARNINGS})
+  target_include_directories(${name}-test PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name}-test PRIVATE kestrelreel_${package}
                         ${CPPUTEST_LIBRARY})
   # CppUTest's leak check redefines `new`, which library headers don't survive.
-  target_compile_definitions(${package}-test PRIVATE
+  target_compile_definitions(${name}-test PRIVATE
                              CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
-  add_test(NAME ${package} COMMAND ${package}-test)
+  add_test(NAME ${name} COMMAND ${name}-test)
 endfunction()
