Batch work is stopped before a draining worker leaves

Cause: batch tasks ran at draining workers until these were gone. A good end in the time between the last heartbeat and the leave (a worker calls 50 ms after an end) was told to nobody, and the task started again.

Change: an answer to a draining worker that remains for less than 0.6 s stops its batch tasks. Nothing is kept for it, so that a change of leader makes no difference.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -13,6 +13,10 @@
 constexpr const char* service_name = "controller";
 /// Tasks named in one log line, so that lines stay short.
 constexpr size_t most_named = 32;
+/// Batch work is stopped when a draining worker remains for less: two
+/// heartbeats (200 ms apart), an answer (60 ms) and the 50 ms after which an
+/// end is listed, and as much again for a slow link.
+constexpr uint64_t evacuate_within_ms = 600;
 
 /// The runs of the orders, such as `TASK/1,TASK/2`; a long list is cut off.
 std::string name_starts(const fleet::worker_orders& orders) {
@@ -122,6 +126,17 @@
   }
 }
 
+/// An end after the last heartbeat of a worker could be told to nobody, and the
+/// task would run once more. Lasting tasks work on to the end: theirs count for
+/// nothing.
+bool fleet_controller::should_evacuate(const worker_view& it,
+                                       const run_key& run) const {
+  if (!it.beat.draining()) return false;
+  if (it.beat.remaining_ms() >= detail::evacuate_within_ms) return false;
+  const fleet::step_spec* step = book_.find_step(run.task);
+  return step != nullptr && !step->long_running();
+}
+
 void fleet_controller::add_stops(worker_view& it,
                                  fleet::worker_orders& orders) {
   const auto add = [&](const run_key& run) {
@@ -130,7 +145,8 @@
     stop.set_run(static_cast<uint32_t>(run.run.value()));
   };
   for (const run_key& run : book_.runs_on(it.id)) {
-    if (should_stop(run) && !lists_end(it, run)) add(run);
+    const bool over = should_stop(run) || should_evacuate(it, run);
+    if (over && !lists_end(it, run)) add(run);
   }
   // What runs there without being recorded was given up on.
   for (const auto& [run, row] : it.rows) {
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -148,6 +148,7 @@
   void add_stops(worker_view& it, fleet::worker_orders& orders);
   void add_paces(worker_view& it, fleet::worker_orders& orders);
   bool should_stop(const run_key& run) const;
+  bool should_evacuate(const worker_view& it, const run_key& run) const;
   bool lists_end(const worker_view& it, const run_key& run) const;
 
   // What is given up on: controller-reviews.cc.
