Draining workers are emptied while their ends can still be told

Cause: the leader let everything run on until a worker that leaves in order was gone. An end is told in the next heartbeat, 50 ms later at the earliest, so that one in the last moments is never told, and its task starts again. Change: what runs there is stopped when the remaining time, which each heartbeat tells, comes to the longest stop, two heartbeats and the wait for the log (1.1 s with stops of 200 ms). A worker that drains calls as often as with few workers. The longest stop is a setting, worker_stop, filled from the platform's bounds.

--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -22,7 +22,7 @@
 TEST(seeded_settings, sound_file_is_read) {
   const std::string text =
       control(R"(, "data_folder": "/d", "found_cluster": true,
-      "worker_hold": "4s", "losses_tolerated": 2)");
+      "worker_hold": "4s", "worker_stop": "200ms", "losses_tolerated": 2)");
   CHECK_TRUE(is_seeded(text));
   const auto parsed = parse_seeded_settings("f", text);
   const auto* it = std::get_if<seeded_settings>(&parsed);
@@ -32,6 +32,7 @@
   LONGS_EQUAL(2, it->seeds.size());
   STRCMP_EQUAL("10.2.0.32", it->seeds[1].str().c_str());
   LONGS_EQUAL(4'000, it->worker_hold.count());
+  LONGS_EQUAL(200, it->worker_stop.count());
   LONGS_EQUAL(2, it->losses_tolerated);
 }
 
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -60,6 +60,8 @@
       "losses_tolerated", {0, most_losses}, settings.losses_tolerated));
   settings.worker_hold =
       all.duration("worker_hold", least_hold, settings.worker_hold);
+  settings.worker_stop =
+      all.duration("worker_stop", milliseconds(0), settings.worker_stop);
   settings.stop_time =
       all.duration("stop_time", milliseconds(0), settings.stop_time);
   settings.log_level = all.word("log_level", {"debug", "info", "warn", "error"},
--- a/config/seeded-settings.h
+++ b/config/seeded-settings.h
@@ -44,6 +44,8 @@
   unsigned losses_tolerated = 1;
   /// What a heartbeat's answer lets a worker run on for.
   milliseconds worker_hold{6'000};
+  /// The longest that a worker takes over a stop.
+  milliseconds worker_stop{1'000};
   /// From a planned stop's begin to its end.
   milliseconds stop_time{6'000};
   std::string log_level = "info";
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -13,10 +13,6 @@
 constexpr const char* service_name = "controller";
 /// Tasks named in one log line, so that lines stay short.
 constexpr size_t most_named = 32;
-/// Batch work is stopped when a draining worker remains for less: two
-/// heartbeats (200 ms apart), an answer (60 ms) and the 50 ms after which an
-/// end is listed, and as much again for a slow link.
-constexpr uint64_t evacuate_within_ms = 600;
 
 /// The runs of the orders, such as `TASK/1,TASK/2`; a long list is cut off.
 std::string name_starts(const fleet::worker_orders& orders) {
@@ -47,6 +43,31 @@
          task->phase != task_phase::running || task->run != run.run;
 }
 
+/// An end is told in the next heartbeat, which a worker that is gone sends no
+/// more: its task would start again after it was done. So all that runs there
+/// is stopped while the stop's own end can still be told, two heartbeats and
+/// the wait for the log later.
+bool fleet_controller::must_vacate(const worker_view& it) const {
+  if (!it.beat.draining()) return false;
+  const milliseconds left =
+      milliseconds(static_cast<int64_t>(it.beat.remaining_ms())) -
+      (clock_.now() - it.told);
+  return left <=
+         settings_.worker_stop + 2 * next_beat(it) + settings_.answer_wait;
+}
+
+void fleet_controller::note_vacated(worker_view& it) {
+  if (std::exchange(it.vacated, true)) return;
+  const size_t n = book_.runs_on(it.id).size();
+  metrics_.counter("kestrelreel_evictions_total",
+                   {{"cause", "worker-leaves"}}) += n;
+  log_event(detail::service_name, log_level::info, "worker-vacated")
+      .with("worker", it.id.str())
+      .with("runs", n)
+      .with("remaining-ms", it.beat.remaining_ms())
+      .with("told-ms-ago", (clock_.now() - it.told).count());
+}
+
 bool fleet_controller::answer_is_due(const worker_view& it) const {
   if (clock_.now() - it.asked >= settings_.answer_wait) return true;
   return it.proposed.empty() && it.end_proposed <= book_.last_end(it.id);
@@ -64,6 +85,8 @@
   constexpr uint64_t ms_per_s = 1'000;
   const bool busy = !it.rows.empty() || !book_.live().empty();
   const milliseconds wished = busy ? settings_.busy_beat : settings_.idle_beat;
+  // The few that drain have little time to be told and to tell.
+  if (it.beat.draining()) return wished;
   const uint64_t share =
       workers_.views().size() * ms_per_s / settings_.beats_per_s;
   return std::max(wished, milliseconds(static_cast<int64_t>(share)));
@@ -126,17 +149,6 @@
   }
 }
 
-/// An end after the last heartbeat of a worker could be told to nobody, and the
-/// task would run once more. Lasting tasks work on to the end: theirs count for
-/// nothing.
-bool fleet_controller::should_evacuate(const worker_view& it,
-                                       const run_key& run) const {
-  if (!it.beat.draining()) return false;
-  if (it.beat.remaining_ms() >= detail::evacuate_within_ms) return false;
-  const fleet::step_spec* step = book_.find_step(run.task);
-  return step != nullptr && !step->long_running();
-}
-
 void fleet_controller::add_stops(worker_view& it,
                                  fleet::worker_orders& orders) {
   const auto add = [&](const run_key& run) {
@@ -144,9 +156,10 @@
     *stop.mutable_task() = to_ref(run.task);
     stop.set_run(static_cast<uint32_t>(run.run.value()));
   };
+  const bool all = must_vacate(it);
+  if (all) note_vacated(it);
   for (const run_key& run : book_.runs_on(it.id)) {
-    const bool over = should_stop(run) || should_evacuate(it, run);
-    if (over && !lists_end(it, run)) add(run);
+    if ((all || should_stop(run)) && !lists_end(it, run)) add(run);
   }
   // What runs there without being recorded was given up on.
   for (const auto& [run, row] : it.rows) {
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -56,6 +56,8 @@
   uint64_t paces_per_s = 2'500;
   /// The longest that an answer to a worker waits for the log.
   milliseconds answer_wait{500};
+  /// The longest that a worker takes over a stop.
+  milliseconds worker_stop{1'000};
   /// A job that is over is known for so long.
   milliseconds keep_jobs{125'000};
   /// Tasks of live jobs that the memory of a small box has room for.
@@ -148,7 +150,8 @@
   void add_stops(worker_view& it, fleet::worker_orders& orders);
   void add_paces(worker_view& it, fleet::worker_orders& orders);
   bool should_stop(const run_key& run) const;
-  bool should_evacuate(const worker_view& it, const run_key& run) const;
+  bool must_vacate(const worker_view& it) const;
+  void note_vacated(worker_view& it);
   bool lists_end(const worker_view& it, const run_key& run) const;
 
   // What is given up on: controller-reviews.cc.
--- a/fleet/worker-drain-test.cc
+++ b/fleet/worker-drain-test.cc
@@ -34,7 +34,10 @@
   }
 };
 
-TEST(worker_drain, batch_work_is_stopped_while_its_end_can_still_be_told) {
+// With stops of 1 s, heartbeats 200 ms apart and 0.5 s for the log, 1.9 s
+// before the worker is gone. Serving tasks move as well: they are away for
+// less than when their worker goes with them.
+TEST(worker_drain, work_is_stopped_while_its_end_can_still_be_told) {
   struct row {
     const char* name;
     uint64_t remaining_ms;
@@ -42,9 +45,10 @@
     int stops;
   };
   const row rows[] = {
-      {"long before", 2'000, false, 0},  {"before", 700, false, 0},
-      {"shortly before", 599, false, 1}, {"at the end", 0, false, 1},
-      {"lasting", 599, true, 0},         {"lasting, at the end", 0, true, 0},
+      {"long before", 4'000, false, 0},    {"before", 1'901, false, 0},
+      {"shortly before", 1'900, false, 1}, {"at the end", 0, false, 1},
+      {"lasting, before", 1'901, true, 0}, {"lasting", 1'900, true, 1},
+      {"lasting, at the end", 0, true, 1},
   };
   for (const row& it : rows) {
     world.~test_world();
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -67,6 +67,8 @@
   bool leaves = false;
   /// Since when that is recorded.
   std::optional<time_point> left_at;
+  /// What runs there was told to stop, as its time is nearly over.
+  bool vacated = false;
   /// That its life is over is proposed: nothing more of it is taken in.
   bool over = false;
   /// What runs there by the last heartbeat.
