Cancelled jobs' table: a worker that left is in the book until it can't call

The recorded leave keeps its runs until none of its heartbeats can come, so the row that begins a run after the leave no longer waits for the book to be empty: each answer must hold the stop all the same, until the run is gone. What calls when its life is surely over gets no orders and no hold, which worker-leave-test asks for.

--- a/fleet/cancelled-job-test.cc
+++ b/fleet/cancelled-job-test.cc
@@ -102,7 +102,9 @@
       case begins::after_its_worker_left: {
         fleet::fleet_request leave;
         leave.set_worker_leaves("a");
-        came = boxes_.ask(leave).status() == fleet::fleet_ok && given_up();
+        // Its runs are in the book until none of its heartbeats can come; what
+        // calls on is not gone yet.
+        came = boxes_.ask(leave).status() == fleet::fleet_ok && !given_up();
         break;
       }
       case begins::after_the_job_was_forgotten:
