--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -5,11 +5,10 @@
 namespace kestrelreel {
 namespace detail {
 
-/// Heartbeats that a cut held up come at most some 10 s late on the users'
-/// networks.
+/// A heartbeat may come seconds late, by the users' protocol; this is eight of
+/// the longest leases.
 constexpr milliseconds remember_life{60'000};
-/// Bounds the memory to some 0.3 MB; 1,100 workers end at most so often in that
-/// time.
+/// Bounds the memory; each of 1,100 workers may end nearly twice in that time.
 constexpr size_t most_lives = 2'048;
 
 }  // namespace detail
