Lasting tasks that wait: a log line of what stands in their way

Cause: nothing told why serving tasks of workers that left waited 10 s and more, nor what was free meanwhile. Change: once a second, for at most eight steps whose tasks have waited for more than a second, the leader writes how many workers have room, by processors and by memory, how many are barred by label or spread, and how many would have room if fill tasks, or tasks of less urgent jobs, gave way; and a line when such a task starts late. Conclusion: sight only; no decision changes.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -345,6 +345,7 @@
   review_silence();
   move_held();
   scheduler_.weigh_fill_work();
+  scheduler_.report_waits();
   review_all_unstarted();
   forget_old_jobs();
   settle();
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -224,6 +224,7 @@
   }
   if (!placed.empty()) plan_of(job.number).idle_since.reset();
   for (const placement& it : placed) {
+    report_late_start(it, spec.long_running());
     proposed_[it.task] = it.where->id;
     it.where->proposed[{it.task, it.run}] = spec;
     fleet::run_start& start = *out.add_starts();
@@ -306,17 +307,19 @@
 /// How well a task would stand on a worker; none where it must not run.
 std::optional<double> fleet_scheduler::value_of(const step_to_place& step,
                                                 const worker_view& it) const {
-  const fleet::step_spec& spec = step.spec;
-  if (!fits(it, step) || it.beat.pool() != step.pool) return std::nullopt;
-  if (!spec.requires_label().empty() &&
-      !has_label(it.beat, spec.requires_label())) {
-    return std::nullopt;
-  }
-  if (spec.anti_affinity() > 0 &&
-      it.load.of_step(step.first) >= spec.anti_affinity()) {
-    return std::nullopt;
-  }
+  if (!fits(it, step) || !may_carry(it, step)) return std::nullopt;
   return score(it, step);
 }
 
+/// True when nothing but room may bar a task of the step from the worker.
+bool fleet_scheduler::may_carry(const worker_view& it,
+                                const step_to_place& step) const {
+  const fleet::step_spec& spec = step.spec;
+  if (it.beat.pool() != step.pool) return false;
+  const std::string& label = spec.requires_label();
+  if (!label.empty() && !has_label(it.beat, label)) return false;
+  return spec.anti_affinity() == 0 ||
+         it.load.of_step(step.first) < spec.anti_affinity();
+}
+
 }  // namespace kestrelreel
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -78,6 +78,9 @@
   void pace(worker_view& it);
   /// Forgets what belongs to a job that is over.
   void forget(job_number job);
+  /// Logs what stands in the way of lasting tasks that have waited for more
+  /// than a second: once a second, and for a few steps at most.
+  void report_waits();
 
  private:
   /// A step whose tasks are being placed.
@@ -126,6 +129,19 @@
     std::optional<time_point> idle_since;
   };
 
+  /// What would come free on a worker if some of its runs gave way.
+  struct gain {
+    uint64_t cpu = 0;
+    uint64_t memory_mb = 0;
+    uint32_t accelerators = 0;
+  };
+  /// What other work may give way to a job of that priority, at one worker.
+  struct yielding {
+    worker_view* where;
+    gain fills;
+    gain lesser;
+  };
+
   std::vector<waiting_job> waiting_jobs();
   job_plan& plan_of(job_number number);
   bool can_be_tried(job_number number, const job_entry& job);
@@ -166,6 +182,12 @@
   bool bears_all(const worker_view& it) const;
   double expected_share(const worker_view& it, const step_to_place& step) const;
   bool is_proposed(const task_key& task) const;
+  // Lasting tasks that wait: waits.cc.
+  std::vector<yielding> yielding_to(uint32_t priority);
+  void report_wait(const waiting_job& job, const step_to_place& step,
+                   const std::vector<yielding>& workers);
+  void report_late_start(const placement& it, bool lasts);
+  bool may_carry(const worker_view& it, const step_to_place& step) const;
 
   scheduler_settings settings_;
   const job_book& book_;
@@ -181,6 +203,7 @@
   std::map<task_key, time_point> try_again_;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
+  time_point waits_reported_at_{};
   // Where the last look for runs to move ended.
   worker_id moves_from_;
 };
