Lasting tasks that had begun before go before new ones

Change: of lasting tasks that waited long, those that had begun before go first, then the small ones; in a step, too; new ones go as before, ahead of short jobs by their wait. Rooms are kept in the same order. Figures: turns_where_there_is_not_room_for_all fails without it (its second row); it holds small_tasks_go_first... as its first row.

--- a/fleet/job-order.cc
+++ b/fleet/job-order.cc
@@ -62,6 +62,21 @@
          milliseconds(static_cast<int64_t>(queue.objective_ms()));
 }
 
+bool is_interrupted(const task_entry& task) {
+  return task.phase == task_phase::waiting && task.run.value() > 0;
+}
+
+bool was_interrupted(const job_entry& job) {
+  for (const auto& steps : job.times) {
+    for (const step_entry& it : steps) {
+      if (std::any_of(it.tasks.begin(), it.tasks.end(), is_interrupted)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 uint64_t size_of(const job_entry& job) {
   uint64_t least = UINT64_MAX;
   for (const fleet::step_spec& it : job.spec.steps()) {
--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -13,7 +13,7 @@
 /// A job that has missed its objective is worth little however soon it ends, so
 /// it must not make others miss theirs as well.
 enum class job_standing : uint8_t {
-  /// Its tasks serve, and some have waited for long.
+  /// Its tasks serve; some of them were interrupted and have waited for long.
   pressing,
   /// It can still end within its objective.
   in_time,
@@ -47,6 +47,10 @@
 milliseconds objective_of(const job_entry& job,
                           const fleet::queue_route& queue);
 
+/// True for a task that waits and has begun before.
+bool is_interrupted(const task_entry& task);
+/// True when a task of the job is.
+bool was_interrupted(const job_entry& job);
 /// The processors of the job's smallest lasting task, in thousandths.
 uint64_t size_of(const job_entry& job);
 
--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -170,7 +170,7 @@
     std::erase_if(it.kept, [&](const kept_room& kept) {
       if (!usable || kept.until <= clock_.now()) return true;
       const auto [left, fresh] = wanted.try_emplace(kept.step);
-      if (fresh) left->second = unplaced(kept.step);
+      if (fresh) left->second = unplaced(kept.step, true);
       if (left->second == 0) return true;
       --left->second;
       return false;
@@ -180,15 +180,18 @@
   return n;
 }
 
-/// Tasks of the step that wait and are not proposed anywhere.
-uint32_t fleet_scheduler::unplaced(const task_key& first) const {
+/// Tasks of the step that wait and are not proposed anywhere; those that had
+/// begun before, or all.
+uint32_t fleet_scheduler::unplaced(const task_key& first,
+                                   bool fresh_too) const {
   const job_entry* job = book_.find(first.job);
   if (job == nullptr || !job->live()) return 0;
   const auto& tasks = job->times[first.time][first.step].tasks;
   uint32_t n = 0;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const task_key key{first.job, first.time, first.step, i};
-    if (tasks[i].phase == task_phase::waiting && !is_proposed(key)) ++n;
+    if (tasks[i].phase != task_phase::waiting || is_proposed(key)) continue;
+    if (fresh_too || is_interrupted(tasks[i])) ++n;
   }
   return n;
 }
@@ -208,8 +211,9 @@
   }
 }
 
-/// Steps with lasting tasks that have waited too long, the small ones
-/// first: where there isn't room for all, more tasks serve so.
+/// Steps with lasting tasks that have waited too long, those that
+/// had begun before first, the small ones before others: where there isn't room
+/// for all, what served goes on, and more tasks serve.
 std::vector<fleet_scheduler::long_wait> fleet_scheduler::long_waits(
     milliseconds least) {
   std::vector<long_wait> out;
@@ -226,13 +230,20 @@
         if (!spec.long_running() || spec.gang()) continue;
         if (!book_.step_is_due(job, time, step)) continue;
         const task_key first{number, time, step, 0};
-        const uint32_t n = unplaced(first);
-        if (n > 0) out.push_back({since, first, n, spec.cpu_milli()});
+        const uint32_t begun = unplaced(first, false);
+        const uint32_t all = unplaced(first, true);
+        if (begun > 0) {
+          out.push_back({since, first, begun, spec.cpu_milli(), false});
+        }
+        if (all > begun) {
+          out.push_back({since, first, all, spec.cpu_milli(), true});
+        }
       }
     }
   }
   std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.cpu, a.since) < std::tie(b.cpu, b.since);
+    return std::tie(a.fresh, a.cpu, a.since) <
+           std::tie(b.fresh, b.cpu, b.since);
   });
   return out;
 }
@@ -248,7 +259,7 @@
   return best;
 }
 
-void fleet_scheduler::keep_for(const long_wait& wait, uint32_t have,
+void fleet_scheduler::keep_for(const long_wait& wait, uint32_t& have,
                                size_t most, const std::set<run_key>& stopping,
                                ways_by_priority& ways, rooms_made& out) {
   const job_entry& job = *book_.find(wait.first.job);
@@ -258,11 +269,11 @@
   const fleet::step_spec& spec = *book_.find_step(wait.first);
   const step_to_place step{spec, queue.pool(), wait.first,
                            model_.id_of(spec.image()), false};
-  for (uint32_t n = have; n < wait.tasks; ++n) {
+  for (; have < wait.tasks; ++have) {
     if (out.all >= most || out.kept >= detail::most_new) return;
     const auto best = best_opening(step, workers->second);
     if (!best) {
-      out.without += wait.tasks - n;
+      out.without += wait.tasks - have;
       return;
     }
     keep_room(*best, step, workers->second, out);
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -74,9 +74,11 @@
   if (order.standing != job_standing::lasting) return order;
   if (!plan.waits_since) plan.waits_since = now;
   if (now - *plan.waits_since < settings_.lasting_first_after) return order;
+  order.deadline = *plan.waits_since;
+  order.standing = job_standing::in_time;
+  if (!was_interrupted(job)) return order;
   order.standing = job_standing::pressing;
   order.size = size_of(job);
-  order.deadline = *plan.waits_since;
   return order;
 }
 
@@ -159,6 +161,18 @@
   return proposed_.contains(task);
 }
 
+/// The tasks that wait, those that had begun before others.
+std::vector<uint32_t> fleet_scheduler::turns_of(const step_entry& step) {
+  std::vector<uint32_t> turns;
+  for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].phase == task_phase::waiting) turns.push_back(i);
+  }
+  std::stable_partition(turns.begin(), turns.end(), [&](uint32_t i) {
+    return is_interrupted(step.tasks[i]);
+  });
+  return turns;
+}
+
 /// The tasks of a step are alike: each worker is looked at once, and again
 /// when it got one of them.
 std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
@@ -179,10 +193,11 @@
   }
   std::priority_queue<ranked> best(std::less<ranked>(), std::move(values));
   std::vector<placement> placed;
-  for (uint32_t i = 0; i < entry.tasks.size() && !best.empty(); ++i) {
+  for (const uint32_t i : turns_of(entry)) {
+    if (best.empty()) break;
     const task_entry& task = entry.tasks[i];
     const task_key key{job.number, step.first.time, step.first.step, i};
-    if (task.phase != task_phase::waiting || is_proposed(key)) continue;
+    if (is_proposed(key)) continue;
     const std::ptrdiff_t at = best.top().second;
     worker_view& where = *all[static_cast<size_t>(-at)];
     best.pop();
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -188,6 +188,8 @@
     task_key first;
     uint32_t tasks;
     uint64_t cpu;
+    // None of those counted more than in an earlier wait has begun before.
+    bool fresh;
   };
   /// What would come free at one worker without what does not last there.
   struct yielding {
@@ -223,6 +225,7 @@
   std::vector<placement> place_tasks(const waiting_job& job,
                                      const step_to_place& step,
                                      std::vector<worker_view*>& all);
+  static std::vector<uint32_t> turns_of(const step_entry& step);
   std::optional<double> value_of(const step_to_place& step,
                                  const worker_view& it) const;
   bool is_starved(const job_plan& plan) const;
@@ -277,9 +280,9 @@
                  std::vector<worker_ways>& workers, rooms_made& out);
   size_t drop_rooms();
   void release_room(worker_view& where, const task_key& step);
-  uint32_t unplaced(const task_key& first) const;
+  uint32_t unplaced(const task_key& first, bool fresh_too) const;
   std::vector<long_wait> long_waits(milliseconds least);
-  void keep_for(const long_wait& wait, uint32_t have, size_t most,
+  void keep_for(const long_wait& wait, uint32_t& have, size_t most,
                 const std::set<run_key>& stopping, ways_by_priority& ways,
                 rooms_made& out);
 
--- a/fleet/waiting-serving-test.cc
+++ b/fleet/waiting-serving-test.cc
@@ -286,26 +286,47 @@
 
 // Where serving tasks alone ask for more than there is, those that waited
 // longest were served first, whatever their size: small ones waited on beside
-// rooms that were too small for the large ones, and fewer served.
-TEST(waiting_serving, small_tasks_go_first_where_there_is_not_room_for_all) {
-  test_world world;
-  world.configure();
-  world.submit(1, {test_world::make_step(1, 4'000)});
-  world.beat("a");
-  fleet::step_spec large = test_world::make_step(1, 4'000);
-  large.set_long_running(true);
-  world.submit(2, {large});
-  fleet::step_spec small = test_world::make_step(2, 2'000);
-  small.set_long_running(true);
-  world.submit(3, {small});
-  for (int i = 0; i < 25; ++i) {
-    world.pass(milliseconds(200));
-    world.beat("a");
-  }
-  world.end("a", to_ref({job_number(1), 0, 0, 0}), 1, fleet::run_done);
-  const fleet::worker_orders orders = world.beat("a");
-  LONGS_EQUAL(2, orders.starts_size());
-  for (const fleet::start_order& it : orders.starts()) {
-    LONGS_EQUAL(3, it.task().job());
+// rooms that were too small for the large ones, and fewer served. With the
+// small ones first, new jobs of 17 to 23 small tasks took what came free, and
+// tasks that had served before waited for 10 s.
+TEST(waiting_serving, turns_where_there_is_not_room_for_all) {
+  struct row {
+    const char* name;
+    bool large_served;
+    bool small_served;
+    uint64_t first;
+  };
+  const row rows[] = {{"both interrupted", true, true, 3},
+                      {"large one interrupted", true, false, 2},
+                      {"small one interrupted", false, true, 3}};
+  for (const row& it : rows) {
+    test_world world;
+    world.configure();
+    const auto submit = [&](uint64_t job, uint32_t count) {
+      fleet::step_spec step = test_world::make_step(count, 4'000 / count);
+      step.set_long_running(true);
+      world.submit(job, {step});
+    };
+    const auto serve = [&](uint64_t job, uint32_t count) {
+      const std::string place = std::to_string(job);
+      world.beat(place);
+      submit(job, count);
+      LONGS_EQUAL_TEXT(count, world.beat(place).starts_size(), it.name);
+    };
+    if (it.large_served) serve(2, 1);
+    if (it.small_served) serve(3, 2);
+    for (const auto& [name, worker] : world.workers) {
+      fleet::fleet_request request;
+      request.set_worker_leaves(name);
+      world.ask(request);
+    }
+    if (!it.large_served) submit(2, 1);
+    if (!it.small_served) submit(3, 2);
+    world.pass(milliseconds(5'000));
+    const fleet::worker_orders orders = world.beat("a");
+    CHECK_TEXT(orders.starts_size() > 0, it.name);
+    for (const fleet::start_order& start : orders.starts()) {
+      LONGS_EQUAL_TEXT(it.first, start.task().job(), it.name);
+    }
   }
 }
