--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -39,7 +39,7 @@
 /// True when the run should no longer be alive.
 bool fleet_controller::should_stop(const run_key& run) const {
   const task_entry* task = book_.find(run.task);
-  return moving_.contains(run) || task == nullptr ||
+  return moving_.contains(run) || yielding_.contains(run) || task == nullptr ||
          task->phase != task_phase::running || task->run != run.run;
 }
 
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -231,6 +231,27 @@
   }
 }
 
+/// A lasting task waits no longer than it must: room is kept for it, and less
+/// urgent work gives way.
+void fleet_controller::make_room() {
+  std::erase_if(yielding_, [&](const run_key& run) {
+    const task_entry* task = book_.find(run.task);
+    return task == nullptr || task->phase != task_phase::running ||
+           task->run != run.run;
+  });
+  const fleet_scheduler::rooms_made made = scheduler_.keep_rooms(yielding_);
+  metrics_.counter("kestrelreel_rooms_kept_total") += made.kept;
+  for (const auto& [run, step] : made.evictions) {
+    yielding_.insert(run);
+    ++metrics_.counter("kestrelreel_evictions_total", {{"cause", "lasting"}});
+    log_event(detail::service_name, log_level::info, "run-gives-way")
+        .with("task", to_text(run.task))
+        .with("run", run.run.value())
+        .with("cause", "a lasting task waits")
+        .with("for", to_text(step));
+  }
+}
+
 void fleet_controller::applied_starts(const fleet::run_starts& starts) {
   for (const fleet::run_start& it : starts.starts()) {
     worker_view* view = workers_.find(worker_id(it.worker()));
@@ -300,7 +321,9 @@
   review_silence();
   review_leaves();
   move_held();
+  make_room();
   scheduler_.weigh_fill_work();
+  scheduler_.report_waits();
   review_all_unstarted();
   forget_old_jobs();
   settle();
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -297,7 +297,7 @@
 
 void fleet_controller::runs_changed(const std::string& worker) {
   worker_view* it = workers_.find(worker_id(worker));
-  if (it != nullptr) it->load_is_old = true;
+  if (it != nullptr) it->load_is_old = it->freed = true;
 }
 
 void fleet_controller::note_left(const std::string& worker) {
@@ -345,6 +345,7 @@
   workers_.clear();
   losing_.clear();
   moving_.clear();
+  yielding_.clear();
   if (!leads_) return;
   // Tokens of an earlier leadership of this box must never match.
   next_token_ = log_.term().value() << 32U;
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -74,8 +74,11 @@
   if (order.standing != job_standing::lasting) return order;
   if (!plan.waits_since) plan.waits_since = now;
   if (now - *plan.waits_since < settings_.lasting_first_after) return order;
-  order.standing = job_standing::in_time;
   order.deadline = *plan.waits_since;
+  order.standing = job_standing::in_time;
+  if (!was_interrupted(job)) return order;
+  order.standing = job_standing::pressing;
+  order.size = size_of(job);
   return order;
 }
 
@@ -94,8 +97,9 @@
       runs = runs || it.running > 0;
       if (it.done + it.running >= it.tasks.size()) continue;
       waits = true;
+      const task_key first{number, time, step, 0};
       open = open || (book_.step_is_due(job, time, step) &&
-                      may_try({number, time, step, 0}));
+                      (may_try(first) || fits_where_freed(job, first)));
     }
   }
   if (!waits) {
@@ -127,6 +131,7 @@
     for (const auto& [run, step] : it.proposed) proposed_[run.task] = id;
   }
   fleet::run_starts out;
+  freed_ = take_freed();
   const std::vector<waiting_job> jobs = waiting_jobs();
   if (jobs.empty()) return out;
   // Filled by the first step that is tried.
@@ -156,6 +161,18 @@
   return proposed_.contains(task);
 }
 
+/// The tasks that wait, those that had begun before others.
+std::vector<uint32_t> fleet_scheduler::turns_of(const step_entry& step) {
+  std::vector<uint32_t> turns;
+  for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].phase == task_phase::waiting) turns.push_back(i);
+  }
+  std::stable_partition(turns.begin(), turns.end(), [&](uint32_t i) {
+    return is_interrupted(step.tasks[i]);
+  });
+  return turns;
+}
+
 /// The tasks of a step are alike: each worker is looked at once, and again
 /// when it got one of them.
 std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
@@ -176,14 +193,16 @@
   }
   std::priority_queue<ranked> best(std::less<ranked>(), std::move(values));
   std::vector<placement> placed;
-  for (uint32_t i = 0; i < entry.tasks.size() && !best.empty(); ++i) {
+  for (const uint32_t i : turns_of(entry)) {
+    if (best.empty()) break;
     const task_entry& task = entry.tasks[i];
     const task_key key{job.number, step.first.time, step.first.step, i};
-    if (task.phase != task_phase::waiting || is_proposed(key)) continue;
+    if (is_proposed(key)) continue;
     const std::ptrdiff_t at = best.top().second;
     worker_view& where = *all[static_cast<size_t>(-at)];
     best.pop();
     where.load.add(key, step.spec, step.image);
+    if (step.spec.long_running()) release_room(where, step.first);
     if (const auto value = value_of(step, where)) best.emplace(*value, at);
     const run_number run = step.spec.gang() ? gang_run : task.run;
     placed.push_back({key, run.next(), &where});
@@ -198,6 +217,30 @@
   return it == try_again_.end() || clock_.now() >= it->second;
 }
 
+std::vector<worker_view*> fleet_scheduler::take_freed() {
+  std::vector<worker_view*> out;
+  for (auto& [id, it] : workers_.views()) {
+    if (!std::exchange(it.freed, false) || !is_usable(it)) continue;
+    if (std::exchange(it.load_is_old, false)) it.load = load_of(it);
+    out.push_back(&it);
+  }
+  return out;
+}
+
+/// A step that found no room is looked at again at once where runs have ended
+/// since: else the worker's answer goes out without a start, and the room lies
+/// idle until its next heartbeat. Fill tasks need no room that others leave.
+bool fleet_scheduler::fits_where_freed(const job_entry& job,
+                                       const task_key& first) {
+  const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
+  if (freed_.empty() || spec.fills() || spec.gang()) return false;
+  const step_to_place step{spec, book_.queue_of(job).pool(), first,
+                           model_.id_of(spec.image()), false};
+  return std::any_of(freed_.begin(), freed_.end(), [&](const auto* it) {
+    return fits(*it, step) && may_carry(*it, step);
+  });
+}
+
 void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
                                 uint32_t step, std::vector<worker_view*>& all,
                                 fleet::run_starts& out) {
@@ -206,14 +249,16 @@
   // A gang starts whole: none of an earlier run may be alive any more.
   if (spec.gang() && entry.running > 0) return;
   const task_key first{job.number, time, step, 0};
-  if (!may_try(first)) return;
-  try_again_.erase(first);
+  const bool anywhere = may_try(first);
+  if (!anywhere && !fits_where_freed(*job.entry, first)) return;
   if (all.empty()) all = candidates();
   const step_to_place place{spec, book_.queue_of(*job.entry).pool(), first,
                             model_.id_of(spec.image()), job.starved};
-  const std::vector<placement> placed = place_tasks(job, place, all);
+  const std::vector<placement> placed =
+      place_tasks(job, place, anywhere ? all : freed_);
   const size_t wanted = entry.tasks.size() - entry.done;
-  if (placed.size() < wanted - entry.running) {
+  if (anywhere) try_again_.erase(first);
+  if (anywhere && placed.size() < wanted - entry.running) {
     const auto pause = std::chrono::duration_cast<milliseconds>(
         settings_.retry_per_worker * all.size());
     try_again_[first] = clock_.now() + pause;
@@ -224,6 +269,7 @@
   }
   if (!placed.empty()) plan_of(job.number).idle_since.reset();
   for (const placement& it : placed) {
+    report_late_start(it, spec.long_running());
     proposed_[it.task] = it.where->id;
     it.where->proposed[{it.task, it.run}] = spec;
     fleet::run_start& start = *out.add_starts();
@@ -247,11 +293,18 @@
                            const step_to_place& step) const {
   const fleet::step_spec& spec = step.spec;
   const fleet::worker_beat& room = it.beat;
-  if (it.load.memory_mb + spec.memory_mb() > room.memory_mb()) return false;
-  if (it.load.accelerators + spec.accelerators() > room.accelerators()) {
-    return false;
+  gain taken{it.load.cpu + spec.cpu_milli(),
+             it.load.memory_mb + spec.memory_mb(),
+             it.load.accelerators + spec.accelerators()};
+  for (const kept_room& kept : it.kept) {
+    if (kept.step == step.first) continue;
+    taken.cpu += kept.cpu;
+    taken.memory_mb += kept.memory_mb;
+    taken.accelerators += kept.accelerators;
   }
-  if (!spec.fills()) return it.load.cpu + spec.cpu_milli() <= room.cpu_milli();
+  if (taken.memory_mb > room.memory_mb()) return false;
+  if (taken.accelerators > room.accelerators()) return false;
+  if (!spec.fills()) return taken.cpu <= room.cpu_milli();
   return step.starved || bears(it, step);
 }
 
@@ -306,17 +359,19 @@
 /// How well a task would stand on a worker; none where it must not run.
 std::optional<double> fleet_scheduler::value_of(const step_to_place& step,
                                                 const worker_view& it) const {
-  const fleet::step_spec& spec = step.spec;
-  if (!fits(it, step) || it.beat.pool() != step.pool) return std::nullopt;
-  if (!spec.requires_label().empty() &&
-      !has_label(it.beat, spec.requires_label())) {
-    return std::nullopt;
-  }
-  if (spec.anti_affinity() > 0 &&
-      it.load.of_step(step.first) >= spec.anti_affinity()) {
-    return std::nullopt;
-  }
+  if (!fits(it, step) || !may_carry(it, step)) return std::nullopt;
   return score(it, step);
 }
 
+/// True when nothing but room may bar a task of the step from the worker.
+bool fleet_scheduler::may_carry(const worker_view& it,
+                                const step_to_place& step) const {
+  const fleet::step_spec& spec = step.spec;
+  if (it.beat.pool() != step.pool) return false;
+  const std::string& label = spec.requires_label();
+  if (!label.empty() && !has_label(it.beat, label)) return false;
+  return spec.anti_affinity() == 0 ||
+         it.load.of_step(step.first) < spec.anti_affinity();
+}
+
 }  // namespace kestrelreel
--- /dev/null
+++ b/fleet/waits.cc
@@ -0,0 +1,129 @@
+// Lasting tasks that wait: what stands in their way.
+#include <algorithm>
+#include <map>
+
+#include "fleet/scheduler.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "scheduler";
+/// A lasting task that waited for less is not told of.
+constexpr milliseconds report_after{1'000};
+constexpr milliseconds report_every{1'000};
+/// Steps told of at a time: a line costs 1 us for each worker, what may give
+/// way some 6 us more, once for all lines.
+constexpr size_t most_reports = 8;
+
+}  // namespace detail
+
+/// The usable workers, and what their runs that don't last would leave: fill
+/// tasks, those less urgent than that priority, and those as urgent.
+std::vector<fleet_scheduler::yielding> fleet_scheduler::yielding_to(
+    uint32_t priority) {
+  std::vector<yielding> out;
+  for (worker_view* it : candidates()) {
+    yielding& to = out.emplace_back(yielding{it, {}, {}, {}});
+    for (const run_key& run : book_.runs_on(it->id)) {
+      const fleet::step_spec* spec = book_.find_step(run.task);
+      if (spec == nullptr || spec->long_running()) continue;
+      const job_entry& job = *book_.find(run.task.job);
+      const bool lesser = book_.queue_of(job).priority() > priority;
+      gain& more = spec->fills() ? to.fills : lesser ? to.lesser : to.same;
+      if (!spec->fills()) more.cpu += spec->cpu_milli();
+      more.memory_mb += spec->memory_mb();
+      more.accelerators += spec->accelerators();
+    }
+  }
+  return out;
+}
+
+fleet_scheduler::places fleet_scheduler::count_places(
+    const step_to_place& step, const std::vector<yielding>& workers) const {
+  const fleet::step_spec& spec = step.spec;
+  const auto rest = [](uint64_t all, uint64_t taken) {
+    return all - std::min(all, taken);
+  };
+  places out;
+  for (const yielding& it : workers) {
+    const worker_view& where = *it.where;
+    if (where.beat.pool() != step.pool) continue;
+    ++out.usable;
+    if (!may_carry(where, step)) {
+      ++out.barred;
+      continue;
+    }
+    gain room;
+    room.cpu = rest(where.beat.cpu_milli(), where.load.cpu);
+    room.memory_mb = rest(where.beat.memory_mb(), where.load.memory_mb);
+    out.most_cpu = std::max(out.most_cpu, room.cpu);
+    out.most_memory = std::max(out.most_memory, room.memory_mb);
+    if (room.cpu >= spec.cpu_milli()) ++out.fit_cpu;
+    if (room.memory_mb >= spec.memory_mb()) ++out.fit_memory;
+    const auto holds = [&](const gain& more) -> uint64_t {
+      room.cpu += more.cpu;
+      room.memory_mb += more.memory_mb;
+      return room.cpu >= spec.cpu_milli() && room.memory_mb >= spec.memory_mb();
+    };
+    out.fit += holds({});
+    out.without_fills += holds(it.fills);
+    out.without_lesser += holds(it.lesser);
+    out.without_short += holds(it.same);
+  }
+  return out;
+}
+
+void fleet_scheduler::report_wait(const step_to_place& step, uint64_t tasks,
+                                  milliseconds waited,
+                                  const std::vector<yielding>& workers) {
+  const places n = count_places(step, workers);
+  log_event(detail::service_name, log_level::warn, "lasting-waits")
+      .with("step", to_text(step.first))
+      .with("tasks", tasks)
+      .with("waited-ms", waited.count())
+      .with("cpu", step.spec.cpu_milli())
+      .with("memory-mb", step.spec.memory_mb())
+      .with("workers", n.usable)
+      .with("barred", n.barred)
+      .with("fit", n.fit)
+      .with("fit-cpu", n.fit_cpu)
+      .with("fit-memory", n.fit_memory)
+      .with("fit-without-fills", n.without_fills)
+      .with("fit-without-lesser", n.without_lesser)
+      .with("fit-without-short", n.without_short)
+      .with("most-cpu", n.most_cpu)
+      .with("most-memory-mb", n.most_memory);
+}
+
+void fleet_scheduler::report_waits() {
+  const time_point now = clock_.now();
+  if (now - waits_reported_at_ < detail::report_every) return;
+  waits_reported_at_ = now;
+  std::map<uint32_t, std::vector<yielding>> by_priority;
+  size_t lines = 0;
+  for (const long_wait& wait : long_waits(detail::report_after)) {
+    if (++lines > detail::most_reports) return;
+    const fleet::queue_route& queue =
+        book_.queue_of(*book_.find(wait.first.job));
+    const auto [workers, fresh] = by_priority.try_emplace(queue.priority());
+    if (fresh) workers->second = yielding_to(queue.priority());
+    const fleet::step_spec& spec = *book_.find_step(wait.first);
+    report_wait(
+        {spec, queue.pool(), wait.first, model_.id_of(spec.image()), false},
+        wait.tasks, now - wait.since, workers->second);
+  }
+}
+
+void fleet_scheduler::report_late_start(const placement& it, bool lasts) {
+  const auto& since = plan_of(it.task.job).waits_since;
+  if (!lasts || !since) return;
+  const milliseconds waited = clock_.now() - *since;
+  if (waited < detail::report_after) return;
+  log_event(detail::service_name, log_level::warn, "lasting-starts-late")
+      .with("task", to_text(it.task))
+      .with("worker", it.where->id.str())
+      .with("waited-ms", waited.count());
+}
+
+}  // namespace kestrelreel
