--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -107,8 +107,8 @@
   return orders;
 }
 
-/// What is acknowledged when it moves, and the starts, in one line each: a line
-/// for each start was three quarters of the leader's log.
+/// What is acknowledged when it moves, and the starts of an answer in one line:
+/// at most some hundred a second, where starts are a thousand.
 void fleet_controller::log_orders(worker_view& it,
                                   const fleet::worker_orders& orders) const {
   if (it.end_told != orders.last_end()) {
