--- a/fleet/fleet-test-world.h
+++ b/fleet/fleet-test-world.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fleet/controller.h"
@@ -41,7 +42,8 @@
 /// A controller with its log, clock and answers.
 class test_world {
  public:
-  test_world() : controller(make_settings(), clock, log, metrics) {
+  explicit test_world(controller_settings settings = make_settings())
+      : controller(std::move(settings), clock, log, metrics) {
     controller.leads(true);
   }
 
