Rooms only for lasting tasks that are due, and as urgent

Cause: looks for waits asked for dependencies and not for due times, and counted from the job's coming; a kept room barred everybody, whatever its queue; openings were kept that came free after the room's 3 s; the choice of what gives way was greedy; a step without an opening was looked for at all workers with each look. Change: a wait begins when the task is due, for rooms and for its turn. A room bars tasks that are no more urgent; urgent waits come first, and take the place of less urgent rooms under the cap. Fill tasks give way to tasks as urgent as themselves, others to more urgent ones. Ways that the others make up for are dropped, and no way takes longer than a room is kept. The longest stop is the controller's worker_stop. A look makes at most 24 choices, and leaves a step without an opening alone for 1 s. What is stopped for one priority is known to the next. What the tests share is in a header.

--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -11,6 +11,12 @@
 
 constexpr const char* service_name = "controller";
 
+scheduler_settings scheduling_of(const controller_settings& it) {
+  scheduler_settings out = it.scheduling;
+  out.worker_stop = it.worker_stop;
+  return out;
+}
+
 }  // namespace detail
 
 fleet::fleet_response make_response(fleet::fleet_status status,
@@ -29,7 +35,7 @@
       log_(log),
       metrics_(metrics),
       workers_(settings_.leases, clock),
-      scheduler_(settings_.scheduling, book_, workers_, clock) {}
+      scheduler_(detail::scheduling_of(settings_), book_, workers_, clock) {}
 
 void fleet_controller::request(const fleet::fleet_request& request,
                                const respond_function& respond) {
--- /dev/null
+++ b/fleet/kept-rooms-test-world.h
@@ -0,0 +1,153 @@
+// What the tests of kept rooms share: two queues, and workers that end at once
+// what they are told to stop.
+#pragma once
+
+#include <string>
+
+#include "fleet/fleet-test-world.h"
+
+namespace kestrelreel {
+
+constexpr uint64_t short_job = 1;
+constexpr uint64_t lasting_job = 2;
+constexpr uint64_t other_job = 3;
+constexpr milliseconds step_time{200};
+/// Tasks that never began wait for 3 s before room is kept.
+constexpr milliseconds until_kept{4'000};
+
+/// Two queues, and workers that end at once what they are told to stop.
+class rooms_world : public test_world {
+ public:
+  explicit rooms_world(milliseconds stop = milliseconds(200))
+      : test_world(make_timed(this, stop)) {
+    fleet::fleet_config config = make_config(1);
+    fleet::queue_route low = config.queues(0);
+    low.set_name("low");
+    low.set_path_prefix("/low/");
+    low.set_priority(2);
+    *config.add_queues() = low;
+    fleet::fleet_request request;
+    *request.mutable_put_config() = config;
+    ask(request);
+  }
+
+  void submit_to(bool low, uint64_t job, const fleet::step_spec& step) {
+    fleet::fleet_request request = make_submit(job, {step});
+    if (low) {
+      request.mutable_job()->set_path("/low/" + to_text(job_number(job)));
+    }
+    ask(request);
+  }
+
+  /// A job of so many times, 2 s apart, the first of which is due in that time.
+  void submit_due(milliseconds ahead, uint32_t times, uint64_t job,
+                  const fleet::step_spec& step) {
+    fleet::fleet_request request = make_submit(job, {step});
+    fleet::fleet_job_spec& spec = *request.mutable_job()->mutable_submit();
+    spec.set_times(times);
+    spec.set_interval_ms(2'000);
+    spec.set_start_ms(static_cast<uint64_t>((clock.now() + ahead).count()));
+    ask(request);
+  }
+
+  /// They count among the workers, but carry nothing of the queues' pool.
+  void add_elsewhere(int n) {
+    for (int i = 0; i < n; ++i) {
+      const std::string name = "other" + std::to_string(i);
+      workers[name].set_worker(name);
+      workers[name].set_pool("elsewhere");
+      beat(name);
+    }
+  }
+
+  void call(const std::string& name) {
+    const fleet::worker_orders orders = beat(name);
+    for (const fleet::stop_order& it : orders.stops()) {
+      ++stops;
+      end(name, it.task(), it.run(), fleet::run_stopped, "saved");
+    }
+  }
+
+  void go(milliseconds n) {
+    for (milliseconds at{0}; at < n; at += step_time) {
+      pass(step_time);
+      for (const auto& entry : workers) call(entry.first);
+    }
+  }
+
+  /// The worker gets those tasks and works on them.
+  void occupy(const std::string& name, bool low, uint64_t job,
+              const fleet::step_spec& step) {
+    call(name);
+    submit_to(low, job, step);
+    call(name);
+    call(name);
+  }
+
+  size_t rooms(uint64_t job) {
+    size_t n = 0;
+    for (const auto& [id, it] : controller.workers().views()) {
+      for (const kept_room& room : it.kept) {
+        n += room.step.job == job_number(job) ? 1U : 0U;
+      }
+    }
+    return n;
+  }
+
+  size_t running(uint64_t job) {
+    size_t n = 0;
+    for (const auto& [name, it] : workers) {
+      for (const fleet::running_row& row : it.running()) {
+        n += row.task().job() == job ? 1U : 0U;
+      }
+    }
+    return n;
+  }
+
+  int stops = 0;
+
+ private:
+  /// The time of day goes on with the virtual clock.
+  static controller_settings make_timed(rooms_world* it, milliseconds stop) {
+    controller_settings settings = make_settings();
+    settings.worker_stop = stop;
+    settings.wall_clock_ms = [it] {
+      return static_cast<uint64_t>(it->clock.now().count());
+    };
+    return settings;
+  }
+};
+
+/// Short tasks that go on, and still take so long by all that is known.
+inline fleet::step_spec make_short(uint32_t count, uint64_t cpu, uint64_t ms) {
+  fleet::step_spec step = test_world::make_step(count, cpu);
+  step.set_memory_mb(10);
+  step.set_estimate_ms(ms);
+  return step;
+}
+
+inline fleet::step_spec make_lasting(uint32_t count, uint64_t cpu) {
+  fleet::step_spec step = test_world::make_step(count, cpu);
+  step.set_memory_mb(10);
+  step.set_long_running(true);
+  return step;
+}
+
+/// Two tasks that leave too little memory for `make_large`, and that lose
+/// little by a stop.
+inline fleet::step_spec make_batch(bool fills) {
+  fleet::step_spec step = test_world::make_step(2, 500);
+  step.set_memory_mb(450);
+  step.set_fills(fills);
+  step.set_saves_progress(true);
+  step.set_estimate_ms(60'000);
+  return step;
+}
+
+inline fleet::step_spec make_large() {
+  fleet::step_spec step = make_lasting(1, 1'000);
+  step.set_memory_mb(400);
+  return step;
+}
+
+}  // namespace kestrelreel
--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -5,7 +5,7 @@
 // free soonest and at the least loss; what comes free there is kept for it.
 #include <algorithm>
 #include <map>
-#include <tuple>
+#include <utility>
 
 #include "fleet/scheduler.h"
 #include "kernel/log.h"
@@ -18,8 +18,6 @@
 constexpr double ms_per_s = 1'000;
 constexpr double full_percent = 100;
 constexpr double milli = 1'000;
-/// What a stop takes at most (the users' `stop_ms`).
-constexpr double stop_s = 0.9;
 /// A task whose time is not told is taken to work on for so long.
 constexpr double unknown_s = 10;
 /// Below this percent, what a run has done tells little of its pace.
@@ -34,8 +32,14 @@
 /// beside tasks of the same step is lost together with them.
 constexpr double unlike_s = 0.3;
 constexpr double crowd_s = 0.2;
-/// Rooms newly kept at a time: a choice looks at all workers, 0.1 us each.
-constexpr size_t most_new = 24;
+/// Choices made at a time, whether they find room or not: each looks at all
+/// workers, 0.1 us each.
+constexpr size_t most_choices = 24;
+/// A step for which no room could be made is left alone for so long, and no
+/// more than so many are: what stands in the way changes with runs that end,
+/// and of 24 choices at a time few should go to the same steps.
+constexpr milliseconds left_alone_for{1'000};
+constexpr size_t most_left_alone = 1'000;
 
 uint64_t excess(uint64_t taken, uint64_t room) {
   return taken - std::min(taken, room);
@@ -60,12 +64,41 @@
 
 }  // namespace detail
 
-/// True for a run that may be stopped for a lasting task of that priority.
+void fleet_scheduler::gain::add(const gain& it) {
+  cpu += it.cpu;
+  memory_mb += it.memory_mb;
+  accelerators += it.accelerators;
+}
+
+void fleet_scheduler::gain::take(const gain& it) {
+  cpu -= it.cpu;
+  memory_mb -= it.memory_mb;
+  accelerators -= it.accelerators;
+}
+
+bool fleet_scheduler::gain::covers(const gain& need) const {
+  return cpu >= need.cpu && memory_mb >= need.memory_mb &&
+         accelerators >= need.accelerators;
+}
+
+/// That of the step's queue; behind all others once its job is not known.
+uint32_t fleet_scheduler::priority_of(const task_key& step) const {
+  const job_entry* job = book_.find(step.job);
+  return job == nullptr ? UINT32_MAX : book_.queue_of(*job).priority();
+}
+
+/// True for room that tasks of that priority leave alone.
+bool fleet_scheduler::binds(const kept_room& kept, uint32_t priority) const {
+  return priority_of(kept.step) <= priority;
+}
+
+/// True for a run that may be stopped for a lasting task of that priority: for
+/// a more urgent one, fill tasks also for one that is as urgent.
 bool fleet_scheduler::may_yield(const run_key& run, uint32_t priority) const {
   const fleet::step_spec& spec = *book_.find_step(run.task);
   if (spec.long_running() || spec.gang()) return false;
-  const job_entry& job = *book_.find(run.task.job);
-  return spec.fills() || book_.queue_of(job).priority() > priority;
+  const uint32_t own = priority_of(run.task);
+  return spec.fills() ? own >= priority : own > priority;
 }
 
 /// What stopping the run throws away, in seconds of a lasting task.
@@ -87,6 +120,8 @@
     const worker_view& it, uint32_t priority,
     const std::set<run_key>& stopping) const {
   std::vector<way_out> ways;
+  const double stop_s =
+      static_cast<double>(settings_.worker_stop.count()) / detail::ms_per_s;
   for (const run_key& run : book_.runs_on(it.id)) {
     const fleet::step_spec* spec = book_.find_step(run.task);
     if (spec == nullptr || spec->long_running()) continue;
@@ -95,12 +130,12 @@
     way.more.memory_mb = spec->memory_mb();
     way.more.accelerators = spec->accelerators();
     way.seconds = detail::remaining_s(it, run, *spec, clock_.now());
-    const double cost = detail::stop_s + cost_of_stop(it, run);
+    const double cost = stop_s + cost_of_stop(it, run);
     if (stopping.contains(run)) {
-      way.seconds = std::min(way.seconds, detail::stop_s);
+      way.seconds = std::min(way.seconds, stop_s);
     } else if (may_yield(run, priority) && cost < way.seconds) {
-      way.seconds = detail::stop_s;
-      way.cost = cost - detail::stop_s;
+      way.seconds = stop_s;
+      way.cost = cost - stop_s;
       way.stop = true;
     }
     ways.push_back(way);
@@ -111,16 +146,17 @@
   return ways;
 }
 
-/// What one more task of the step lacks at a worker, beside all that is kept.
+/// What one more task of the step lacks at a worker, beside what is kept for
+/// tasks as urgent.
 fleet_scheduler::gain fleet_scheduler::shortage(
-    const worker_view& it, const fleet::step_spec& spec) const {
+    const worker_view& it, const step_to_place& step) const {
+  const fleet::step_spec& spec = step.spec;
   gain need{it.load.cpu + spec.cpu_milli(),
             it.load.memory_mb + spec.memory_mb(),
             uint64_t{it.load.accelerators} + spec.accelerators()};
   for (const kept_room& kept : it.kept) {
-    need.cpu += kept.cpu;
-    need.memory_mb += kept.memory_mb;
-    need.accelerators += kept.accelerators;
+    if (!binds(kept, step.priority)) continue;
+    need.add({kept.cpu, kept.memory_mb, kept.accelerators});
   }
   need.cpu = detail::excess(need.cpu, it.beat.cpu_milli());
   need.memory_mb = detail::excess(need.memory_mb, it.beat.memory_mb());
@@ -128,6 +164,36 @@
   return need;
 }
 
+/// The first ways that make so much room while it is kept, without those that
+/// the others make up for: what gives way needlessly is work thrown away. None
+/// where there aren't enough.
+std::optional<fleet_scheduler::chosen_ways> fleet_scheduler::enough_ways(
+    const gain& need, const std::vector<way_out>& ways) const {
+  const double longest =
+      static_cast<double>(settings_.keep_for.count()) / detail::ms_per_s;
+  gain all;
+  chosen_ways out;
+  for (const way_out& way : ways) {
+    const gain& more = way.more;
+    const bool helps =
+        (all.cpu < need.cpu && more.cpu > 0) ||
+        (all.memory_mb < need.memory_mb && more.memory_mb > 0) ||
+        (all.accelerators < need.accelerators && more.accelerators > 0);
+    if (!helps || way.seconds > longest) continue;
+    all.add(more);
+    out.push_back(&way);
+  }
+  if (!all.covers(need)) return std::nullopt;
+  for (size_t i = out.size(); i-- > 0;) {
+    gain rest = all;
+    rest.take(out[i]->more);
+    if (!rest.covers(need)) continue;
+    all = rest;
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  return out;
+}
+
 /// What it takes to make room at a worker; none where none can be made.
 std::optional<fleet_scheduler::opening> fleet_scheduler::open_up(
     worker_view& it, const step_to_place& step,
@@ -139,22 +205,14 @@
   same += it.load.of_step(step.first);
   const uint32_t spread = step.spec.anti_affinity();
   if (spread > 0 && same >= spread) return std::nullopt;
-  gain need = shortage(it, step.spec);
+  const auto chosen = enough_ways(shortage(it, step), ways);
+  if (!chosen) return std::nullopt;
   opening out{&it, 0, 0, {}};
-  for (const way_out& way : ways) {
-    const bool helps = (need.cpu > 0 && way.more.cpu > 0) ||
-                       (need.memory_mb > 0 && way.more.memory_mb > 0) ||
-                       (need.accelerators > 0 && way.more.accelerators > 0);
-    if (!helps) continue;
-    need.cpu = detail::excess(need.cpu, way.more.cpu);
-    need.memory_mb = detail::excess(need.memory_mb, way.more.memory_mb);
-    need.accelerators =
-        detail::excess(need.accelerators, way.more.accelerators);
-    out.seconds = std::max(out.seconds, way.seconds);
-    out.cost += way.cost;
-    if (way.stop) out.stops.push_back(way.run);
+  for (const way_out* way : *chosen) {
+    out.seconds = std::max(out.seconds, way->seconds);
+    out.cost += way->cost;
+    if (way->stop) out.stops.push_back(way->run);
   }
-  if (need.cpu + need.memory_mb + need.accelerators > 0) return std::nullopt;
   out.cost += out.seconds + detail::crowd_s * same -
               detail::unlike_s * alike(it, step.image);
   return out;
@@ -180,22 +238,6 @@
   return n;
 }
 
-/// Tasks of the step that wait and are not proposed anywhere; those that had
-/// begun before, or all.
-uint32_t fleet_scheduler::unplaced(const task_key& first,
-                                   bool fresh_too) const {
-  const job_entry* job = book_.find(first.job);
-  if (job == nullptr || !job->live()) return 0;
-  const auto& tasks = job->times[first.time][first.step].tasks;
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < tasks.size(); ++i) {
-    const task_key key{first.job, first.time, first.step, i};
-    if (tasks[i].phase != task_phase::waiting || is_proposed(key)) continue;
-    if (fresh_too || is_interrupted(tasks[i])) ++n;
-  }
-  return n;
-}
-
 void fleet_scheduler::release_room(worker_view& where, const task_key& step) {
   const auto drop = [&](worker_view& it) {
     const auto kept =
@@ -211,44 +253,6 @@
   }
 }
 
-/// Steps with lasting tasks that have waited too long, those that
-/// had begun before first, the small ones before others: where there isn't room
-/// for all, what served goes on, and more tasks serve.
-std::vector<fleet_scheduler::long_wait> fleet_scheduler::long_waits(
-    milliseconds least) {
-  std::vector<long_wait> out;
-  const time_point now = clock_.now();
-  for (const auto& [order, number] : book_.live()) {
-    const auto plan = plans_.find(number);
-    if (plan == plans_.end() || !plan->second.waits_since) continue;
-    const time_point since = *plan->second.waits_since;
-    if (now - since < least) continue;
-    const job_entry& job = *book_.find(number);
-    for (uint32_t time = 0; time < job.times.size(); ++time) {
-      for (uint32_t step = 0; step < job.times[time].size(); ++step) {
-        const auto& spec = job.spec.steps(static_cast<int>(step));
-        if (!spec.long_running() || spec.gang()) continue;
-        if (!book_.step_is_due(job, time, step)) continue;
-        const task_key first{number, time, step, 0};
-        const uint32_t begun = unplaced(first, false);
-        const uint32_t all = unplaced(first, true);
-        if (begun > 0) {
-          out.push_back({since, first, begun, spec.cpu_milli(), false});
-        }
-        // New ones may wait longer: a processor is worth more to short jobs.
-        if (all > begun && now - since >= settings_.keep_new_after) {
-          out.push_back({since, first, all, spec.cpu_milli(), true});
-        }
-      }
-    }
-  }
-  std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.fresh, a.cpu, a.since) <
-           std::tie(b.fresh, b.cpu, b.since);
-  });
-  return out;
-}
-
 std::optional<fleet_scheduler::opening> fleet_scheduler::best_opening(
     const step_to_place& step, std::vector<worker_ways>& workers) const {
   std::optional<opening> best;
@@ -260,54 +264,93 @@
   return best;
 }
 
+/// The least urgent room, if it does not bind tasks of that priority.
+std::optional<fleet_scheduler::room_place> fleet_scheduler::lesser_room(
+    uint32_t priority) {
+  std::optional<room_place> out;
+  for (auto& [id, it] : workers_.views()) {
+    for (size_t i = 0; i < it.kept.size(); ++i) {
+      const uint32_t own = priority_of(it.kept[i].step);
+      if (own <= priority) continue;
+      priority = own;
+      out = room_place{&it, i};
+    }
+  }
+  return out;
+}
+
+/// Less urgent rooms make way: they were not counted where the new one opens,
+/// and there are no more in all than may be.
+void fleet_scheduler::drop_lesser_rooms(worker_view& where, uint32_t priority,
+                                        room_look& look) {
+  look.made.all -= std::erase_if(
+      where.kept, [&](const auto& kept) { return !binds(kept, priority); });
+  while (look.made.all >= look.most) {
+    const auto room = lesser_room(priority);
+    if (!room) return;
+    auto& kept = room->where->kept;
+    kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(room->at));
+    --look.made.all;
+  }
+}
+
 void fleet_scheduler::keep_for(const long_wait& wait, uint32_t& have,
-                               size_t most, const std::set<run_key>& stopping,
-                               ways_by_priority& ways, rooms_made& out) {
-  const job_entry& job = *book_.find(wait.first.job);
-  const fleet::queue_route& queue = book_.queue_of(job);
-  const auto [workers, fresh] = ways.try_emplace(queue.priority());
-  if (fresh) workers->second = all_ways(queue.priority(), stopping);
-  const fleet::step_spec& spec = *book_.find_step(wait.first);
-  const step_to_place step{spec, queue.pool(), wait.first,
-                           model_.id_of(spec.image()), false};
+                               room_look& look) {
+  rooms_made& out = look.made;
+  if (have >= wait.tasks) return;
+  if (no_opening_until_.contains(wait.first)) {
+    out.without += wait.tasks - have;
+    return;
+  }
+  const step_to_place step =
+      place_of(*book_.find(wait.first.job), wait.first, false);
   for (; have < wait.tasks; ++have) {
-    if (out.all >= most || out.kept >= detail::most_new) return;
+    if (look.choices >= detail::most_choices) return;
+    if (out.all >= look.most && !lesser_room(wait.priority)) return;
+    ++look.choices;
+    const auto [workers, fresh] = look.ways.try_emplace(wait.priority);
+    if (fresh) workers->second = all_ways(wait.priority, look.stopping);
     const auto best = best_opening(step, workers->second);
     if (!best) {
       out.without += wait.tasks - have;
+      if (no_opening_until_.size() >= detail::most_left_alone) return;
+      no_opening_until_[wait.first] = clock_.now() + detail::left_alone_for;
       return;
     }
-    keep_room(*best, step, workers->second, out);
+    drop_lesser_rooms(*best->where, wait.priority, look);
+    keep_room(*best, step, workers->second, look);
   }
 }
 
 fleet_scheduler::rooms_made fleet_scheduler::keep_rooms(
     const std::set<run_key>& stopping) {
-  rooms_made out;
   const time_point now = clock_.now();
   const size_t n = workers_.views().size();
   const auto pause = std::chrono::duration_cast<milliseconds>(
       settings_.keep_pause_per_worker * n);
-  if (now - rooms_kept_at_ < pause) return out;
+  if (now - rooms_kept_at_ < pause) return {};
   rooms_kept_at_ = now;
+  std::erase_if(no_opening_until_,
+                [&](const auto& it) { return it.second <= now; });
+  room_look look;
+  rooms_made& out = look.made;
+  look.stopping = stopping;
+  look.most = std::max<size_t>(1, n * settings_.kept_percent / detail::hundred);
   out.all = drop_rooms();
-  const size_t most =
-      std::max<size_t>(1, n * settings_.kept_percent / detail::hundred);
   std::map<task_key, uint32_t> have;
   for (const auto& [id, it] : workers_.views()) {
     for (const kept_room& room : it.kept) ++have[room.step];
   }
-  ways_by_priority ways;
   milliseconds longest{0};
   for (const long_wait& wait : long_waits(settings_.keep_after)) {
     longest = std::max(longest, now - wait.since);
-    keep_for(wait, have[wait.first], most, stopping, ways, out);
+    keep_for(wait, have[wait.first], look);
   }
   if (out.kept + out.without == 0) return out;
   log_event(detail::service_name, log_level::info, "rooms-kept")
       .with("new", out.kept)
       .with("all", out.all)
-      .with("most", most)
+      .with("most", look.most)
       .with("without", out.without)
       .with("stops", out.evictions.size())
       .with("longest-wait-ms", longest.count());
@@ -326,15 +369,17 @@
 /// Notes the room, and that what is stopped for it gives way once only.
 void fleet_scheduler::keep_room(const opening& it, const step_to_place& step,
                                 std::vector<worker_ways>& workers,
-                                rooms_made& out) {
+                                room_look& look) {
   const fleet::step_spec& spec = step.spec;
   it.where->kept.push_back({step.first, spec.cpu_milli(), spec.memory_mb(),
                             spec.accelerators(),
                             clock_.now() + settings_.keep_for});
-  ++out.all;
-  ++out.kept;
-  for (const run_key& run : it.stops)
-    out.evictions.push_back({run, step.first});
+  ++look.made.all;
+  ++look.made.kept;
+  for (const run_key& run : it.stops) {
+    look.made.evictions.push_back({run, step.first});
+    look.stopping.insert(run);
+  }
   for (worker_ways& other : workers) {
     if (other.where != it.where) continue;
     for (way_out& way : other.ways) {
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -202,10 +202,7 @@
     const std::vector<worker_view*>& all) {
   const job_entry* job = book_.find(run.task.job);
   if (job == nullptr || !job->live()) return nullptr;
-  const fleet::step_spec& spec = *book_.find_step(run.task);
-  const step_to_place step{spec, book_.queue_of(*job).pool(),
-                           detail::step_key(run.task),
-                           model_.id_of(spec.image()), false};
+  const step_to_place step = place_of(*job, detail::step_key(run.task), false);
   worker_view* it = nullptr;
   double best = 0;
   for (worker_view* place : all) {
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -89,23 +89,25 @@
   job_plan& plan = plan_of(number);
   bool runs = false;
   bool waits = false;
+  bool due = false;
   bool open = false;
   for (uint32_t time = 0; time < job.times.size(); ++time) {
     const auto& steps = job.times[time];
+    const bool time_is_due = due_since(job, time).has_value();
     for (uint32_t step = 0; step < steps.size(); ++step) {
       const step_entry& it = steps[step];
       runs = runs || it.running > 0;
       if (it.done + it.running >= it.tasks.size()) continue;
       waits = true;
+      if (!time_is_due) continue;
+      due = true;
       const task_key first{number, time, step, 0};
       open = open || (book_.step_is_due(job, time, step) &&
                       (may_try(first) || fits_where_freed(job, first)));
     }
   }
-  if (!waits) {
-    plan.waits_since.reset();
-    return false;
-  }
+  if (!due) plan.waits_since.reset();
+  if (!waits) return false;
   if (runs) plan.idle_since.reset();
   if (!runs && !plan.idle_since) plan.idle_since = clock_.now();
   return open;
@@ -126,6 +128,8 @@
 }
 
 fleet::run_starts fleet_scheduler::plan(uint64_t wall_ms) {
+  wall_ms_ = wall_ms;
+  wall_told_at_ = clock_.now();
   proposed_.clear();
   for (const auto& [id, it] : workers_.views()) {
     for (const auto& [run, step] : it.proposed) proposed_[run.task] = id;
@@ -136,17 +140,24 @@
   if (jobs.empty()) return out;
   // Filled by the first step that is tried.
   std::vector<worker_view*> all;
-  for (const waiting_job& it : jobs) plan_job(it, wall_ms, all, out);
+  for (const waiting_job& it : jobs) plan_job(it, all, out);
   return out;
 }
 
-void fleet_scheduler::plan_job(const waiting_job& job, uint64_t wall_ms,
+fleet_scheduler::step_to_place fleet_scheduler::place_of(const job_entry& job,
+                                                         const task_key& first,
+                                                         bool starved) {
+  const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
+  const fleet::queue_route& queue = book_.queue_of(job);
+  return {spec,    queue.pool(),    first, model_.id_of(spec.image()),
+          starved, queue.priority()};
+}
+
+void fleet_scheduler::plan_job(const waiting_job& job,
                                std::vector<worker_view*>& all,
                                fleet::run_starts& out) {
-  const fleet::fleet_job_spec& spec = job.entry->spec;
   for (uint32_t time = 0; time < job.entry->times.size(); ++time) {
-    const uint64_t due = spec.start_ms() + time * spec.interval_ms();
-    if (spec.times() > 0 && wall_ms < due) return;
+    if (!due_since(*job.entry, time)) return;
     const auto& steps = job.entry->times[time];
     for (uint32_t step = 0; step < steps.size(); ++step) {
       const step_entry& it = steps[step];
@@ -234,8 +245,7 @@
                                        const task_key& first) {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
   if (freed_.empty() || spec.fills() || spec.gang()) return false;
-  const step_to_place step{spec, book_.queue_of(job).pool(), first,
-                           model_.id_of(spec.image()), false};
+  const step_to_place step = place_of(job, first, false);
   return std::any_of(freed_.begin(), freed_.end(), [&](const auto* it) {
     return fits(*it, step) && may_carry(*it, step);
   });
@@ -252,8 +262,7 @@
   const bool anywhere = may_try(first);
   if (!anywhere && !fits_where_freed(*job.entry, first)) return;
   if (all.empty()) all = candidates();
-  const step_to_place place{spec, book_.queue_of(*job.entry).pool(), first,
-                            model_.id_of(spec.image()), job.starved};
+  const step_to_place place = place_of(*job.entry, first, job.starved);
   const std::vector<placement> placed =
       place_tasks(job, place, anywhere ? all : freed_);
   const size_t wanted = entry.tasks.size() - entry.done;
@@ -289,6 +298,8 @@
          use(it.load.fill_cpu, detail::percent);
 }
 
+/// Room that is kept counts, unless for the step itself or a less urgent one:
+/// else an urgent task would wait beside what lies idle.
 bool fleet_scheduler::fits(const worker_view& it,
                            const step_to_place& step) const {
   const fleet::step_spec& spec = step.spec;
@@ -296,15 +307,18 @@
   gain taken{it.load.cpu + spec.cpu_milli(),
              it.load.memory_mb + spec.memory_mb(),
              it.load.accelerators + spec.accelerators()};
+  const auto has_room = [&] {
+    return taken.memory_mb <= room.memory_mb() &&
+           taken.accelerators <= room.accelerators() &&
+           (spec.fills() || taken.cpu <= room.cpu_milli());
+  };
+  if (!has_room()) return false;
   for (const kept_room& kept : it.kept) {
-    if (kept.step == step.first) continue;
-    taken.cpu += kept.cpu;
-    taken.memory_mb += kept.memory_mb;
-    taken.accelerators += kept.accelerators;
+    if (kept.step == step.first || !binds(kept, step.priority)) continue;
+    taken.add({kept.cpu, kept.memory_mb, kept.accelerators});
   }
-  if (taken.memory_mb > room.memory_mb()) return false;
-  if (taken.accelerators > room.accelerators()) return false;
-  if (!spec.fills()) return taken.cpu <= room.cpu_milli();
+  if (!has_room()) return false;
+  if (!spec.fills()) return true;
   return step.starved || bears(it, step);
 }
 
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -52,6 +52,8 @@
   std::chrono::microseconds keep_pause_per_worker{500};
   milliseconds keep_for{3'000};
   unsigned kept_percent = 25;
+  /// The longest that a worker takes over a stop: the controller's own figure.
+  milliseconds worker_stop{0};
   /// A step that found no room is tried again after so much for each worker:
   /// looking through a worker takes 1 to 2 us, and a leader of 0.32 cores
   /// should not spend more than some hundredths of it on steps that wait.
@@ -76,7 +78,7 @@
 
   /// The starts that can be made now, the most urgent first; each is noted as
   /// proposed at its worker. `wall_ms` is the time of day, for jobs that are
-  /// due at a time.
+  /// due at a time; until the next plan it is taken to go on from there.
   fleet::run_starts plan(uint64_t wall_ms);
   /// Runs of fill tasks that are held back hard where they are, and could work
   /// elsewhere; at most a few at a time.
@@ -118,6 +120,7 @@
     task_key first;
     image_id image;
     bool starved;
+    uint32_t priority;
   };
   struct serving_task {
     run_key run;
@@ -162,6 +165,10 @@
     uint64_t cpu = 0;
     uint64_t memory_mb = 0;
     uint64_t accelerators = 0;
+
+    void add(const gain& it);
+    void take(const gain& it);
+    bool covers(const gain& need) const;
   };
   /// How a run there may come to its end: in how long, and at what loss.
   struct way_out {
@@ -175,6 +182,7 @@
     worker_view* where;
     std::vector<way_out> ways;
   };
+  using chosen_ways = std::vector<const way_out*>;
   using ways_by_priority = std::map<uint32_t, std::vector<worker_ways>>;
   /// Room that can be made at a worker: in how long, at what cost in all, and
   /// by which stops.
@@ -186,6 +194,7 @@
   };
   /// A step with lasting tasks that wait.
   struct long_wait {
+    uint32_t priority;
     time_point since;
     task_key first;
     uint32_t tasks;
@@ -193,6 +202,20 @@
     // None of those counted more than in an earlier wait has begun before.
     bool fresh;
   };
+  /// One look for rooms: what is being stopped, how each worker's runs may end,
+  /// and how often all workers were looked at.
+  struct room_look {
+    std::set<run_key> stopping;
+    ways_by_priority ways;
+    size_t most = 0;
+    size_t choices = 0;
+    rooms_made made;
+  };
+  /// A room among those of a worker.
+  struct room_place {
+    worker_view* where;
+    size_t at;
+  };
   /// What would come free at one worker without what does not last there.
   struct yielding {
     worker_view* where;
@@ -220,8 +243,10 @@
   bool can_be_tried(job_number number, const job_entry& job);
   std::vector<worker_view*> candidates();
   bool is_usable(const worker_view& it) const;
-  void plan_job(const waiting_job& job, uint64_t wall_ms,
-                std::vector<worker_view*>& all, fleet::run_starts& out);
+  step_to_place place_of(const job_entry& job, const task_key& first,
+                         bool starved);
+  void plan_job(const waiting_job& job, std::vector<worker_view*>& all,
+                fleet::run_starts& out);
   void plan_step(const waiting_job& job, uint32_t time, uint32_t step,
                  std::vector<worker_view*>& all, fleet::run_starts& out);
   std::vector<placement> place_tasks(const waiting_job& job,
@@ -259,6 +284,12 @@
   double expected_share(const worker_view& it, const step_to_place& step) const;
   bool is_proposed(const task_key& task) const;
   // Lasting tasks that wait: waits.cc.
+  std::optional<time_point> due_since(const job_entry& job,
+                                      uint32_t time) const;
+  uint32_t unplaced(const task_key& first, bool fresh_too) const;
+  std::vector<long_wait> long_waits(milliseconds least);
+  void add_waits(const job_entry& job, const task_key& first, time_point since,
+                 std::vector<long_wait>& out) const;
   std::vector<yielding> yielding_to(uint32_t priority);
   places count_places(const step_to_place& step,
                       const std::vector<yielding>& workers) const;
@@ -269,24 +300,27 @@
   // Room kept for them: kept-rooms.cc.
   bool may_yield(const run_key& run, uint32_t priority) const;
   double cost_of_stop(const worker_view& it, const run_key& run) const;
-  gain shortage(const worker_view& it, const fleet::step_spec& spec) const;
+  uint32_t priority_of(const task_key& step) const;
+  bool binds(const kept_room& kept, uint32_t priority) const;
+  gain shortage(const worker_view& it, const step_to_place& step) const;
   std::vector<way_out> ways_out(const worker_view& it, uint32_t priority,
                                 const std::set<run_key>& stopping) const;
   std::vector<worker_ways> all_ways(uint32_t priority,
                                     const std::set<run_key>& stopping);
+  std::optional<chosen_ways> enough_ways(
+      const gain& need, const std::vector<way_out>& ways) const;
   std::optional<opening> open_up(worker_view& it, const step_to_place& step,
                                  const std::vector<way_out>& ways) const;
   std::optional<opening> best_opening(const step_to_place& step,
                                       std::vector<worker_ways>& workers) const;
   void keep_room(const opening& it, const step_to_place& step,
-                 std::vector<worker_ways>& workers, rooms_made& out);
+                 std::vector<worker_ways>& workers, room_look& look);
+  std::optional<room_place> lesser_room(uint32_t priority);
+  void drop_lesser_rooms(worker_view& where, uint32_t priority,
+                         room_look& look);
   size_t drop_rooms();
   void release_room(worker_view& where, const task_key& step);
-  uint32_t unplaced(const task_key& first, bool fresh_too) const;
-  std::vector<long_wait> long_waits(milliseconds least);
-  void keep_for(const long_wait& wait, uint32_t& have, size_t most,
-                const std::set<run_key>& stopping, ways_by_priority& ways,
-                rooms_made& out);
+  void keep_for(const long_wait& wait, uint32_t& have, room_look& look);
 
   scheduler_settings settings_;
   const job_book& book_;
@@ -300,12 +334,17 @@
   std::unordered_map<job_number, job_plan> plans_;
   // When a step that found no room is tried again, by its first task.
   std::map<task_key, time_point> try_again_;
+  // Until when a step is left alone for which no room could be made.
+  std::map<task_key, time_point> no_opening_until_;
   // Workers where runs ended since the last plan.
   std::vector<worker_view*> freed_;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
   time_point waits_reported_at_{};
   time_point rooms_kept_at_{};
+  // The time of day, and when it was told.
+  uint64_t wall_ms_ = 0;
+  time_point wall_told_at_{};
   // Where the last look for runs to move ended.
   worker_id moves_from_;
 };
--- a/fleet/waits.cc
+++ b/fleet/waits.cc
@@ -1,6 +1,7 @@
 // Lasting tasks that wait: what stands in their way.
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 #include "fleet/scheduler.h"
 #include "kernel/log.h"
@@ -18,6 +19,81 @@
 
 }  // namespace detail
 
+/// Since when the tasks of that time may run, none if they may not yet; from
+/// the beginning in jobs that are not due at a time.
+std::optional<time_point> fleet_scheduler::due_since(const job_entry& job,
+                                                     uint32_t time) const {
+  const fleet::fleet_job_spec& spec = job.spec;
+  if (spec.times() == 0) return time_point{};
+  const uint64_t due = spec.start_ms() + time * spec.interval_ms();
+  if (wall_ms_ < due) return std::nullopt;
+  return wall_told_at_ - milliseconds(wall_ms_ - due);
+}
+
+/// Tasks of the step that wait and are not proposed anywhere; those that had
+/// begun before, or all.
+uint32_t fleet_scheduler::unplaced(const task_key& first,
+                                   bool fresh_too) const {
+  const job_entry* job = book_.find(first.job);
+  if (job == nullptr || !job->live()) return 0;
+  const auto& tasks = job->times[first.time][first.step].tasks;
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    const task_key key{first.job, first.time, first.step, i};
+    if (tasks[i].phase != task_phase::waiting || is_proposed(key)) continue;
+    if (fresh_too || is_interrupted(tasks[i])) ++n;
+  }
+  return n;
+}
+
+/// The step's waits, those of tasks that had begun before apart.
+void fleet_scheduler::add_waits(const job_entry& job, const task_key& first,
+                                time_point since,
+                                std::vector<long_wait>& out) const {
+  const auto& spec = job.spec.steps(static_cast<int>(first.step));
+  if (!spec.long_running() || spec.gang()) return;
+  if (!book_.step_is_due(job, first.time, first.step)) return;
+  const uint32_t priority = book_.queue_of(job).priority();
+  const uint32_t begun = unplaced(first, false);
+  const uint32_t all = unplaced(first, true);
+  if (begun > 0) {
+    out.push_back({priority, since, first, begun, spec.cpu_milli(), false});
+  }
+  // New ones may wait longer: a processor is worth more to short jobs.
+  if (all > begun && clock_.now() - since >= settings_.keep_new_after) {
+    out.push_back({priority, since, first, all, spec.cpu_milli(), true});
+  }
+}
+
+/// Steps with lasting tasks that have waited too long since they were due, the
+/// most urgent first. Of these those that had begun before, the small ones
+/// before others: where there isn't room for all, what served goes on, and more
+/// tasks serve.
+std::vector<fleet_scheduler::long_wait> fleet_scheduler::long_waits(
+    milliseconds least) {
+  std::vector<long_wait> out;
+  const time_point now = clock_.now();
+  for (const auto& [order, number] : book_.live()) {
+    const auto plan = plans_.find(number);
+    if (plan == plans_.end() || !plan->second.waits_since) continue;
+    const job_entry& job = *book_.find(number);
+    for (uint32_t time = 0; time < job.times.size(); ++time) {
+      const auto due = due_since(job, time);
+      if (!due) break;
+      const time_point since = std::max(*plan->second.waits_since, *due);
+      if (now - since < least) break;
+      for (uint32_t step = 0; step < job.times[time].size(); ++step) {
+        add_waits(job, {number, time, step, 0}, since, out);
+      }
+    }
+  }
+  std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.priority, a.fresh, a.cpu, a.since) <
+           std::tie(b.priority, b.fresh, b.cpu, b.since);
+  });
+  return out;
+}
+
 /// The usable workers, and what their runs that don't last would leave: fill
 /// tasks, those less urgent than that priority, and those as urgent.
 std::vector<fleet_scheduler::yielding> fleet_scheduler::yielding_to(
@@ -104,14 +180,11 @@
   size_t lines = 0;
   for (const long_wait& wait : long_waits(detail::report_after)) {
     if (++lines > detail::most_reports) return;
-    const fleet::queue_route& queue =
-        book_.queue_of(*book_.find(wait.first.job));
-    const auto [workers, fresh] = by_priority.try_emplace(queue.priority());
-    if (fresh) workers->second = yielding_to(queue.priority());
-    const fleet::step_spec& spec = *book_.find_step(wait.first);
-    report_wait(
-        {spec, queue.pool(), wait.first, model_.id_of(spec.image()), false},
-        wait.tasks, now - wait.since, workers->second);
+    const auto [workers, fresh] = by_priority.try_emplace(wait.priority);
+    if (fresh) workers->second = yielding_to(wait.priority);
+    const job_entry& job = *book_.find(wait.first.job);
+    report_wait(place_of(job, wait.first, false), wait.tasks, now - wait.since,
+                workers->second);
   }
 }
 
