A lasting task that waited long takes the soonest room there is

Cause: a room was refused where it might come free later than it is kept, by estimates that are often far off; small tasks took what came free there.

--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -39,6 +39,7 @@
 /// more than so many are: what stands in the way changes with runs that end,
 /// and of 24 choices at a time few should go to the same steps.
 constexpr milliseconds left_alone_for{1'000};
+constexpr milliseconds pressing_left_alone_for{300};
 constexpr size_t most_left_alone = 1'000;
 
 uint64_t excess(uint64_t taken, uint64_t room) {
@@ -164,13 +165,12 @@
   return need;
 }
 
-/// The first ways that make so much room while it is kept, without those that
+/// The first ways that make so much room within the limit, without those that
 /// the others make up for: what gives way needlessly is work thrown away. None
 /// where there aren't enough.
 std::optional<fleet_scheduler::chosen_ways> fleet_scheduler::enough_ways(
-    const gain& need, const std::vector<way_out>& ways) const {
-  const double longest =
-      static_cast<double>(settings_.keep_for.count()) / detail::ms_per_s;
+    const gain& need, const std::vector<way_out>& ways, milliseconds limit) {
+  const double longest = static_cast<double>(limit.count()) / detail::ms_per_s;
   gain all;
   chosen_ways out;
   for (const way_out& way : ways) {
@@ -197,7 +197,7 @@
 /// What it takes to make room at a worker; none where none can be made.
 std::optional<fleet_scheduler::opening> fleet_scheduler::open_up(
     worker_view& it, const step_to_place& step,
-    const std::vector<way_out>& ways) const {
+    const std::vector<way_out>& ways, milliseconds limit) const {
   if (!may_carry(it, step)) return std::nullopt;
   auto same = static_cast<uint32_t>(
       std::count_if(it.kept.begin(), it.kept.end(),
@@ -205,7 +205,7 @@
   same += it.load.of_step(step.first);
   const uint32_t spread = step.spec.anti_affinity();
   if (spread > 0 && same >= spread) return std::nullopt;
-  const auto chosen = enough_ways(shortage(it, step), ways);
+  const auto chosen = enough_ways(shortage(it, step), ways, limit);
   if (!chosen) return std::nullopt;
   opening out{&it, 0, 0, {}};
   for (const way_out* way : *chosen) {
@@ -238,26 +238,12 @@
   return n;
 }
 
-void fleet_scheduler::release_room(worker_view& where, const task_key& step) {
-  const auto drop = [&](worker_view& it) {
-    const auto kept =
-        std::find_if(it.kept.begin(), it.kept.end(),
-                     [&](const kept_room& room) { return room.step == step; });
-    if (kept == it.kept.end()) return false;
-    it.kept.erase(kept);
-    return true;
-  };
-  if (drop(where)) return;
-  for (auto& [id, it] : workers_.views()) {
-    if (drop(it)) return;
-  }
-}
-
 std::optional<fleet_scheduler::opening> fleet_scheduler::best_opening(
-    const step_to_place& step, std::vector<worker_ways>& workers) const {
+    const step_to_place& step, std::vector<worker_ways>& workers,
+    milliseconds limit) const {
   std::optional<opening> best;
   for (worker_ways& it : workers) {
-    std::optional<opening> found = open_up(*it.where, step, it.ways);
+    std::optional<opening> found = open_up(*it.where, step, it.ways, limit);
     if (!found || (best && best->cost <= found->cost)) continue;
     best = std::move(found);
   }
@@ -302,6 +288,12 @@
     out.without += wait.tasks - have;
     return;
   }
+  // Estimates are often far off: what waited long takes the soonest room there
+  // is, else small tasks take it piece by piece.
+  const bool pressing =
+      !wait.fresh && clock_.now() - wait.since >= settings_.lasting_first_after;
+  const milliseconds limit =
+      pressing ? milliseconds::max() : settings_.keep_for;
   const step_to_place step =
       place_of(*book_.find(wait.first.job), wait.first, false);
   for (; have < wait.tasks; ++have) {
@@ -310,11 +302,13 @@
     ++look.choices;
     const auto [workers, fresh] = look.ways.try_emplace(wait.priority);
     if (fresh) workers->second = all_ways(wait.priority, look.stopping);
-    const auto best = best_opening(step, workers->second);
+    const auto best = best_opening(step, workers->second, limit);
     if (!best) {
       out.without += wait.tasks - have;
       if (no_opening_until_.size() >= detail::most_left_alone) return;
-      no_opening_until_[wait.first] = clock_.now() + detail::left_alone_for;
+      no_opening_until_[wait.first] =
+          clock_.now() +
+          (pressing ? detail::pressing_left_alone_for : detail::left_alone_for);
       return;
     }
     drop_lesser_rooms(*best->where, wait.priority, look);
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -307,12 +307,14 @@
                                 const std::set<run_key>& stopping) const;
   std::vector<worker_ways> all_ways(uint32_t priority,
                                     const std::set<run_key>& stopping);
-  std::optional<chosen_ways> enough_ways(
-      const gain& need, const std::vector<way_out>& ways) const;
+  static std::optional<chosen_ways> enough_ways(
+      const gain& need, const std::vector<way_out>& ways, milliseconds limit);
   std::optional<opening> open_up(worker_view& it, const step_to_place& step,
-                                 const std::vector<way_out>& ways) const;
+                                 const std::vector<way_out>& ways,
+                                 milliseconds limit) const;
   std::optional<opening> best_opening(const step_to_place& step,
-                                      std::vector<worker_ways>& workers) const;
+                                      std::vector<worker_ways>& workers,
+                                      milliseconds limit) const;
   void keep_room(const opening& it, const step_to_place& step,
                  std::vector<worker_ways>& workers, room_look& look);
   std::optional<room_place> lesser_room(uint32_t priority);
--- a/fleet/waits.cc
+++ b/fleet/waits.cc
@@ -199,4 +199,19 @@
       .with("waited-ms", waited.count());
 }
 
+void fleet_scheduler::release_room(worker_view& where, const task_key& step) {
+  const auto drop = [&](worker_view& it) {
+    const auto kept =
+        std::find_if(it.kept.begin(), it.kept.end(),
+                     [&](const kept_room& room) { return room.step == step; });
+    if (kept == it.kept.end()) return false;
+    it.kept.erase(kept);
+    return true;
+  };
+  if (drop(where)) return;
+  for (auto& [id, it] : workers_.views()) {
+    if (drop(it)) return;
+  }
+}
+
 }  // namespace kestrelreel
