Each lasting task that waits has its turn at a look for room

Cause: a look was bounded by 24 choices, small tasks first; those for which there was no room took them again and again, and a larger task for which seven workers could have made room got none. Change: the bound counts workers looked at (100,000: 10 ms of each 550 at 1,100 workers by the 0.1 us that a look takes, not measured anew; 285 choices at 350 workers), and a step without an opening is left alone until each wait had its turn. each_wait_has_its_turn_however_many_press fails without that. The test of the bound sets it to the 24 choices that it asked for before.

--- a/fleet/kept-rooms-test-world.h
+++ b/fleet/kept-rooms-test-world.h
@@ -18,8 +18,9 @@
 /// Two queues, and workers that end at once what they are told to stop.
 class rooms_world : public test_world {
  public:
-  explicit rooms_world(milliseconds stop = milliseconds(200))
-      : test_world(make_timed(this, stop)) {
+  explicit rooms_world(milliseconds stop = milliseconds(200),
+                       size_t worker_looks = 100'000)
+      : test_world(make_timed(this, stop, worker_looks)) {
     fleet::fleet_config config = make_config(1);
     fleet::queue_route low = config.queues(0);
     low.set_name("low");
@@ -108,9 +109,11 @@
 
  private:
   /// The time of day goes on with the virtual clock.
-  static controller_settings make_timed(rooms_world* it, milliseconds stop) {
+  static controller_settings make_timed(rooms_world* it, milliseconds stop,
+                                        size_t worker_looks) {
     controller_settings settings = make_settings();
     settings.worker_stop = stop;
+    settings.scheduling.most_worker_looks = worker_looks;
     settings.wall_clock_ms = [it] {
       return static_cast<uint64_t>(it->clock.now().count());
     };
--- a/fleet/kept-rooms-test.cc
+++ b/fleet/kept-rooms-test.cc
@@ -204,8 +204,9 @@
 }
 
 TEST(kept_rooms, one_look_does_not_go_through_all_that_wait) {
+  constexpr size_t at_a_time = 24;
   for (const bool low : {false, true}) {
-    rooms_world world;
+    rooms_world world(milliseconds(200), at_a_time);
     world.occupy("a", false, short_job, make_short(1, 4'000, 2'000));
     constexpr uint64_t many = 40;
     for (uint64_t i = 0; i < many; ++i) {
@@ -225,6 +226,37 @@
 }
 
 // What a run that is stopped for an urgent task leaves over is enough.
+// Small steps for which there is no room, looked at first at each look, left
+// none to a larger one for which room could be made: it waited for 10 s.
+TEST(kept_rooms, each_wait_has_its_turn_however_many_press) {
+  constexpr size_t at_a_time = 8;
+  constexpr uint64_t many = 40;
+  rooms_world world(milliseconds(200), at_a_time);
+  fleet::worker_beat& worker = world.workers["a"];
+  world.call("a");
+  worker.add_labels("first");
+  world.call("a");
+  for (uint64_t i = 0; i < many; ++i) {
+    fleet::step_spec step = make_lasting(1, 10);
+    step.set_requires_label("first");
+    world.submit_to(false, other_job + i, step);
+  }
+  world.submit_to(false, lasting_job, make_lasting(1, 1'000));
+  world.call("a");
+  LONGS_EQUAL(many + 1, worker.running_size());
+  world.occupy("b", false, short_job, make_short(1, 4'000, 20'000));
+  LONGS_EQUAL(1, world.running(short_job));
+  // All are interrupted while their worker drains.
+  worker.set_draining(true);
+  worker.set_remaining_ms(60'000);
+  const auto rows = worker.running();
+  for (const fleet::running_row& it : rows) {
+    world.end("a", it.task(), it.run(), fleet::run_failed);
+  }
+  world.go(milliseconds(6'000));
+  LONGS_EQUAL(1, world.rooms(lasting_job));
+}
+
 TEST(kept_rooms, a_run_is_stopped_for_one_task_only) {
   rooms_world world;
   world.add_elsewhere(7);
--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -32,14 +32,9 @@
 /// beside tasks of the same step is lost together with them.
 constexpr double unlike_s = 0.3;
 constexpr double crowd_s = 0.2;
-/// Choices made at a time, whether they find room or not: each looks at all
-/// workers, 0.1 us each.
-constexpr size_t most_choices = 24;
-/// A step for which no room could be made is left alone for so long, and no
-/// more than so many are: what stands in the way changes with runs that end,
-/// and of 24 choices at a time few should go to the same steps.
+/// A step for which no room could be made is left alone for so long at least,
+/// unless it presses, and no more than so many are.
 constexpr milliseconds left_alone_for{1'000};
-constexpr milliseconds pressing_left_alone_for{300};
 constexpr size_t most_left_alone = 1'000;
 
 uint64_t excess(uint64_t taken, uint64_t room) {
@@ -297,7 +292,7 @@
   const step_to_place step =
       place_of(*book_.find(wait.first.job), wait.first, false);
   for (; have < wait.tasks; ++have) {
-    if (look.choices >= detail::most_choices) return;
+    if (look.choices >= look.most_choices) return;
     if (out.all >= look.most && !lesser_room(wait.priority)) return;
     ++look.choices;
     const auto [workers, fresh] = look.ways.try_emplace(wait.priority);
@@ -307,8 +302,9 @@
       out.without += wait.tasks - have;
       if (no_opening_until_.size() >= detail::most_left_alone) return;
       no_opening_until_[wait.first] =
-          clock_.now() +
-          (pressing ? detail::pressing_left_alone_for : detail::left_alone_for);
+          clock_.now() + (pressing
+                              ? look.round
+                              : std::max(look.round, detail::left_alone_for));
       return;
     }
     drop_lesser_rooms(*best->where, wait.priority, look);
@@ -322,7 +318,8 @@
   const size_t n = workers_.views().size();
   const auto pause = std::chrono::duration_cast<milliseconds>(
       settings_.keep_pause_per_worker * n);
-  if (now - rooms_kept_at_ < pause) return {};
+  const milliseconds passed = now - rooms_kept_at_;
+  if (passed < pause) return {};
   rooms_kept_at_ = now;
   std::erase_if(no_opening_until_,
                 [&](const auto& it) { return it.second <= now; });
@@ -330,13 +327,19 @@
   rooms_made& out = look.made;
   look.stopping = stopping;
   look.most = std::max<size_t>(1, n * settings_.kept_percent / detail::hundred);
+  look.most_choices =
+      std::max<size_t>(1, settings_.most_worker_looks / std::max<size_t>(1, n));
   out.all = drop_rooms();
   std::map<task_key, uint32_t> have;
   for (const auto& [id, it] : workers_.views()) {
     for (const kept_room& room : it.kept) ++have[room.step];
   }
   milliseconds longest{0};
-  for (const long_wait& wait : long_waits(settings_.keep_after)) {
+  const std::vector<long_wait> waits = long_waits(settings_.keep_after);
+  // Else the first ones, looked at again and again, would leave none to others.
+  look.round = std::min(passed, detail::left_alone_for) *
+               (waits.size() / look.most_choices + 1);
+  for (const long_wait& wait : waits) {
     longest = std::max(longest, now - wait.since);
     keep_for(wait, have[wait.first], look);
   }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -51,6 +51,9 @@
   milliseconds keep_new_after{3'000};
   std::chrono::microseconds keep_pause_per_worker{500};
   milliseconds keep_for{3'000};
+  /// Workers looked at each time, over all choices: 0.1 us each, which is 10 ms
+  /// of each 550 at 1,100 workers.
+  size_t most_worker_looks = 100'000;
   unsigned kept_percent = 25;
   /// The longest that a worker takes over a stop: the controller's own figure.
   milliseconds worker_stop{0};
@@ -208,7 +211,11 @@
     std::set<run_key> stopping;
     ways_by_priority ways;
     size_t most = 0;
+    // Choices made, and how many may be.
     size_t choices = 0;
+    size_t most_choices = 0;
+    // How long it takes until each wait had its turn.
+    milliseconds round{0};
     rooms_made made;
   };
   /// A room among those of a worker.
