Lasting tasks serve until their worker has left, and are sought a place at once

Cause: emptied with the batch work, serving tasks went 1.1 s before their worker, and those for which there is no room for 10 s were missed from then on. Change: only batch work is stopped in time; its ends are what can't be told later. Ends of lasting runs count for nothing, so that they are given up on as soon as the leave is recorded, without the 1.1 s that other ends are waited for.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -44,9 +44,10 @@
 }
 
 /// An end is told in the next heartbeat, which a worker that is gone sends no
-/// more: its task would start again after it was done. So all that runs there
-/// is stopped while the stop's own end can still be told, two heartbeats and
-/// the wait for the log later.
+/// more: its task would start again after it was done. So what runs there is
+/// stopped while the stop's own end can still be told, two heartbeats and the
+/// wait for the log later. Lasting tasks serve to the end: theirs count for
+/// nothing.
 bool fleet_controller::must_vacate(const worker_view& it) const {
   if (!it.beat.draining()) return false;
   const milliseconds left =
@@ -56,9 +57,17 @@
          settings_.worker_stop + 2 * next_beat(it) + settings_.answer_wait;
 }
 
+bool fleet_controller::is_lasting(const run_key& run) const {
+  const fleet::step_spec* step = book_.find_step(run.task);
+  return step != nullptr && step->long_running();
+}
+
 void fleet_controller::note_vacated(worker_view& it) {
   if (it.vacated) return;
-  const size_t n = book_.runs_on(it.id).size();
+  const auto& runs = book_.runs_on(it.id);
+  const auto n = static_cast<uint64_t>(
+      std::count_if(runs.begin(), runs.end(),
+                    [this](const run_key& run) { return !is_lasting(run); }));
   metrics_.counter("kestrelreel_evictions_total",
                    {{"cause", "worker-leaves"}}) += n;
   log_event(detail::service_name, log_level::info, "worker-vacated")
@@ -158,7 +167,8 @@
   if (all) note_vacated(it);
   it.vacated = all;
   for (const run_key& run : book_.runs_on(it.id)) {
-    if ((all || should_stop(run)) && !lists_end(it, run)) add(run);
+    const bool over = (all && !is_lasting(run)) || should_stop(run);
+    if (over && !lists_end(it, run)) add(run);
   }
   // What runs there without being recorded was given up on.
   for (const auto& [run, row] : it.rows) {
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -79,6 +79,8 @@
       return "its machine lives on as another";
     case loss_cause::left:
       return "it left";
+    case loss_cause::left_serving:
+      return "it left, lasting tasks";
     case loss_cause::lease:
       break;
   }
@@ -91,7 +93,8 @@
   fleet::fleet_command command;
   fleet::worker_loss& loss = *command.mutable_loss();
   loss.set_worker(it.id.str());
-  loss.set_gone(cause != loss_cause::lease);
+  loss.set_gone(cause != loss_cause::lease &&
+                cause != loss_cause::left_serving);
   loss.set_over(cause == loss_cause::replaced || cause == loss_cause::left);
   it.over = loss.over();
   for (const run_key& run : runs) {
@@ -162,13 +165,22 @@
 
 /// A worker drops answers after `answer_limit`, so that a heartbeat sent before
 /// its leave comes within that or counts for nothing. One that calls after its
-/// leave is not gone yet.
+/// leave is not gone yet. No end of a lasting run is waited for: the users miss
+/// its task from the leave on.
 void fleet_controller::review_leaves() {
   if (is_behind()) return;
   const lease_settings& leases = workers_.leases();
   const milliseconds wait = leases.answer_limit + leases.slack;
   for (auto& [id, it] : workers_.views()) {
     if (!it.left_at || losing_.contains(id)) continue;
+    std::vector<run_key> lasting;
+    for (const run_key& run : book_.runs_on(id)) {
+      if (is_lasting(run)) lasting.push_back(run);
+    }
+    if (!lasting.empty()) {
+      propose_loss(it, lasting, loss_cause::left_serving);
+      continue;
+    }
     if (clock_.now() - std::max(*it.left_at, it.told) < wait) continue;
     const auto& alive = book_.runs_on(id);
     propose_loss(it, {alive.begin(), alive.end()}, loss_cause::left);
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -153,10 +153,11 @@
   bool should_stop(const run_key& run) const;
   bool must_vacate(const worker_view& it) const;
   void note_vacated(worker_view& it);
+  bool is_lasting(const run_key& run) const;
   bool lists_end(const worker_view& it, const run_key& run) const;
 
   // What is given up on: controller-reviews.cc.
-  enum class loss_cause { lease, silent, replaced, left };
+  enum class loss_cause { lease, silent, replaced, left, left_serving };
   static const char* name_of(loss_cause cause);
   void propose_loss(worker_view& it, const std::vector<run_key>& runs,
                     loss_cause cause);
--- a/fleet/worker-drain-test.cc
+++ b/fleet/worker-drain-test.cc
@@ -35,8 +35,7 @@
 };
 
 // With stops of 1 s, heartbeats 200 ms apart and 0.5 s for the log, 1.9 s
-// before the worker is gone. Serving tasks move as well: they are away for
-// less than when their worker goes with them.
+// before the worker is gone. Lasting tasks serve to the end.
 TEST(worker_drain, work_is_stopped_while_its_end_can_still_be_told) {
   struct row {
     const char* name;
@@ -47,8 +46,8 @@
   const row rows[] = {
       {"long before", 4'000, false, 0},    {"before", 1'901, false, 0},
       {"shortly before", 1'900, false, 1}, {"at the end", 0, false, 1},
-      {"lasting, before", 1'901, true, 0}, {"lasting", 1'900, true, 1},
-      {"lasting, at the end", 0, true, 1},
+      {"lasting, before", 1'901, true, 0}, {"lasting", 1'900, true, 0},
+      {"lasting, at the end", 0, true, 0},
   };
   for (const row& it : rows) {
     world.~test_world();
--- a/fleet/worker-vacate-test.cc
+++ b/fleet/worker-vacate-test.cc
@@ -100,21 +100,18 @@
     const char* name;
     milliseconds notice;
     milliseconds stop;
-    bool lasting;
   };
   const row rows[] = {
-      {"batch", milliseconds(4'500), milliseconds(200), false},
-      {"batch, slow stops", milliseconds(4'500), milliseconds(900), false},
-      {"serving", milliseconds(4'500), milliseconds(200), true},
-      {"serving, slow stops", milliseconds(4'500), milliseconds(900), true},
-      {"short notice", milliseconds(2'000), milliseconds(900), false},
-      {"long notice", milliseconds(20'000), milliseconds(900), false},
+      {"batch", milliseconds(4'500), milliseconds(200)},
+      {"batch, slow stops", milliseconds(4'500), milliseconds(900)},
+      {"short notice", milliseconds(2'000), milliseconds(900)},
+      {"long notice", milliseconds(20'000), milliseconds(900)},
   };
   constexpr int jobs = 4;
   for (const row& it : rows) {
     world.~test_world();
     new (&world) test_world();
-    fill(world, jobs, it.lasting);
+    fill(world, jobs, false);
     LONGS_EQUAL_TEXT(jobs, world.workers["a"].running_size(), it.name);
     draining_worker worker(world, it.notice, it.stop);
     while (worker.here()) {
@@ -130,6 +127,26 @@
   }
 }
 
+// The wait for a new place is counted from their end: what serves works on as
+// long as its worker is there, and starts elsewhere as soon as it has left.
+TEST(worker_vacate, lasting_tasks_serve_to_the_end_and_start_again_at_once) {
+  constexpr int jobs = 4;
+  fill(world, jobs, true);
+  draining_worker worker(world, milliseconds(4'500), milliseconds(200));
+  while (worker.here()) {
+    world.clock.advance(step_time);
+    worker.step();
+    if (world.clock.now().count() % 100 == 0) world.controller.tick();
+    world.commit();
+  }
+  LONGS_EQUAL(jobs, worker.running());
+  fleet::fleet_request leave;
+  leave.set_worker_leaves("a");
+  world.ask(leave);
+  world.pass(milliseconds(200));
+  LONGS_EQUAL(jobs, world.beat("b").starts_size());
+}
+
 TEST(worker_vacate, work_goes_on_while_there_is_time) {
   fill(world, 4, false);
   draining_worker worker(world, milliseconds(20'000), milliseconds(900));
