Tests on fixed ports: each process has its own

Shown: two runs of net-test at once, 5 failures of 5 in one of them. With a port by process id both pass, as do two of platform's and daemon's at once.

--- a/net/peer-mesh-test.cc
+++ b/net/peer-mesh-test.cc
@@ -2,6 +2,7 @@
 // bytes of an open connection and passes none on, while new ones work. No check
 // depends on how long a step takes, short of a minute.
 #include <CppUTest/TestHarness.h>
+#include <unistd.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -22,7 +23,9 @@
 
 using boost::asio::ip::tcp;
 
-constexpr uint16_t mesh_port = 18'731;
+/// Each process has its own, below those that the kernel gives out: two runs of
+/// the tests on one machine don't meet.
+const auto mesh_port = static_cast<uint16_t>(20'000 + getpid() % 10'000);
 constexpr const char* near_ip = "127.0.44.1";
 constexpr const char* proxy_ip = "127.0.44.2";
 constexpr const char* far_ip = "127.0.44.3";
