--- a/fleet/worker-vacate-test.cc
+++ b/fleet/worker-vacate-test.cc
@@ -1,8 +1,7 @@
 // Workers that leave in order, and what runs there when their time is over.
 //
 // Symptom: a batch task ended well at a draining worker and was started again
-// at another one; serving tasks began to look for a new place only when their
-// worker was gone.
+// at another one.
 // Sequence: the worker told in each heartbeat how much time it had left (4.5 s
 // at first, 0.2 s in the last one). The run ended 36 ms before that was over.
 // An end is listed 50 ms later at the earliest, and the worker was gone by
