Evacuation of a data centre: an order of the log, and no start there on any road

Each order goes through the log, also one that is in force already: its opposite may be on its way there. One choke point sends no start to a worker of an evacuated data centre, whatever road it came by, and what was recorded for it and never began is given up on as at a draining worker. Such workers carry nothing new, no room is kept there and nothing gives way there; what runs goes on. A step that only evacuated workers may carry is told of once. An unknown data centre is refused with 400 and changes nothing: data centres are known by the settings file (data_centres) and by what workers name. Workers that are slow from their start (ColdLeftMs) come last in the choice, so that a data centre that is taken back draws no stampede.

--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -22,7 +22,8 @@
 TEST(seeded_settings, sound_file_is_read) {
   const std::string text =
       control(R"(, "data_folder": "/d", "found_cluster": true,
-      "worker_hold": "4s", "worker_stop": "200ms", "losses_tolerated": 2)");
+      "worker_hold": "4s", "worker_stop": "200ms", "losses_tolerated": 2,
+      "data_centres": ["kumluca", "demre"])");
   CHECK_TRUE(is_seeded(text));
   const auto parsed = parse_seeded_settings("f", text);
   const auto* it = std::get_if<seeded_settings>(&parsed);
@@ -34,13 +35,18 @@
   LONGS_EQUAL(4'000, it->worker_hold.count());
   LONGS_EQUAL(200, it->worker_stop.count());
   LONGS_EQUAL(2, it->losses_tolerated);
+  LONGS_EQUAL(2, it->data_centres.size());
+  STRCMP_EQUAL("demre", it->data_centres[1].c_str());
 }
 
 TEST(seeded_settings, faults_are_told) {
   const std::string texts[] = {
-      control(""), control(R"(, "data_folder": "/d", "unknown": 1)"),
+      control(""),
+      control(R"(, "data_folder": "/d", "unknown": 1)"),
       control(R"(, "data_folder": "/d", "worker_hold": "1ms")"),
-      "{\"seeds\": [\"x\"]}", "{"};
+      control(R"(, "data_folder": "/d", "data_centres": "kumluca")"),
+      "{\"seeds\": [\"x\"]}",
+      "{"};
   for (const std::string& it : texts) {
     const auto parsed = parse_seeded_settings("f", it);
     CHECK_TRUE(std::holds_alternative<std::vector<config_fault>>(parsed));
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -48,6 +48,9 @@
   settings.box = box_id(all.text("box"));
   settings.name = all.text("name", settings.box.str());
   settings.data_centre = data_centre_id(all.text("data_centre"));
+  if (all.has("data_centres")) {
+    settings.data_centres = all.texts("data_centres");
+  }
   settings.role = all.word("role", {"entry", "control"}) == "control"
                       ? seeded_role::control
                       : seeded_role::entry;
--- a/config/seeded-settings.h
+++ b/config/seeded-settings.h
@@ -28,6 +28,9 @@
   /// Its name for people.
   std::string name;
   data_centre_id data_centre;
+  /// All data centres of the deployment; an order that names another is
+  /// refused.
+  std::vector<std::string> data_centres;
   seeded_role role = seeded_role::entry;
   std::string callers_address;
   std::string readiness_address;
--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -54,6 +54,8 @@
   controller_settings settings;
   settings.leases.hold = std::min(context_.settings.worker_hold, longest_hold);
   settings.worker_stop = context_.settings.worker_stop;
+  settings.data_centres = context_.settings.data_centres;
+  settings.data_centres.push_back(context_.settings.data_centre.str());
   settings.beat_address = context_.settings.control_address;
   settings.wall_clock_ms = wall_clock_ms;
   return settings;
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -68,6 +68,7 @@
   out.set_clock_ms(it.beat.clock_ms());
   out.set_draining(it.beat.draining());
   out.set_remaining_ms(it.beat.remaining_ms());
+  out.set_cold_left_ms(it.beat.cold_left_ms());
   *out.mutable_ended() = it.beat.ended();
   const bool checkpoints =
       it.called - it.checkpoints_told >= settings_.checkpoints_every;
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -141,7 +141,7 @@
 void fleet_controller::add_starts(worker_view& it,
                                   fleet::worker_orders& orders) {
   // While runs there are being given up on, none of them may begin after all.
-  if (it.leaves || it.beat.draining() || losing_.contains(it.id)) return;
+  if (!takes_starts(it) || losing_.contains(it.id)) return;
   for (const run_key& run : book_.runs_on(it.id)) {
     if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
       continue;
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -196,9 +196,7 @@
   std::vector<run_key> over;
   for (const run_key& run : book_.runs_on(it.id)) {
     if (it.rows.contains(run) || lists_end(it, run)) continue;
-    // To one that drains or left, no start is sent any more.
-    const bool waits = !it.leaves && !it.beat.draining();
-    if (waits && !should_stop(run)) continue;
+    if (takes_starts(it) && !should_stop(run)) continue;
     const auto sent = it.sent.find(run);
     const time_point last = std::max(
         led_since_, sent == it.sent.end() ? time_point{} : sent->second);
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -53,6 +53,8 @@
       return on_put_config(request.put_config(), respond);
     case fleet::fleet_request::kGetConfig:
       return on_get_config(respond);
+    case fleet::fleet_request::kEvacuation:
+      return on_evacuation(request.evacuation(), respond);
     case fleet::fleet_request::BODY_NOT_SET:
       break;
   }
@@ -277,6 +279,7 @@
       forget_worker(command.loss().worker(), command.loss().over());
     }
   }
+  if (command.has_evacuation()) note_evacuation(command.evacuation());
   if (command.has_leave() && leads_) note_left(command.leave().worker());
   if (!leads_) return;
   log_uncounted(command.report().worker(), result);
@@ -368,6 +371,7 @@
       .with("jobs-live", book_.live().size())
       .with("workers-with-runs", book_.runs().size())
       .with("workers-leaving", book_.left().size())
+      .with("evacuated", book_.evacuated().names())
       .with("config", book_.config().version());
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -58,6 +58,8 @@
   milliseconds answer_wait{500};
   /// The longest that a worker takes over a stop.
   milliseconds worker_stop{1'000};
+  /// Data centres that may be evacuated, beside those that workers name.
+  std::vector<std::string> data_centres;
   /// A job that is over is known for so long.
   milliseconds keep_jobs{125'000};
   /// Tasks of live jobs that the memory of a small box has room for.
@@ -113,6 +115,12 @@
   void on_put_config(const fleet::fleet_config& config,
                      const respond_function& respond);
   void on_get_config(const respond_function& respond);
+  // Evacuations: controller-evacuations.cc.
+  void on_evacuation(const fleet::evacuation_order& order,
+                     const respond_function& respond);
+  bool is_data_centre(const std::string& name) const;
+  void note_evacuation(const fleet::evacuation_order& order) const;
+  bool takes_starts(const worker_view& it) const;
   void commit(fleet::fleet_command command, respond_function respond);
   // The log: what came up together is one entry.
   void add_command(fleet::fleet_command command);
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -77,6 +77,7 @@
       run.set_worker(worker.str());
     }
   }
+  evacuations_.save(out);
   out.set_next_order(next_order_);
   return out.SerializeAsString();
 }
@@ -122,6 +123,7 @@
     runs_[worker_id(it.worker())].insert(
         {to_key(it.task()), run_number(it.run())});
   }
+  evacuations_.load(in);
   next_order_ = in.next_order();
 }
 
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -78,6 +78,9 @@
       return apply_all(command.batch());
     case fleet::fleet_command::kLeave:
       return leave(command.leave());
+    case fleet::fleet_command::kEvacuation:
+      evacuations_.apply(command.evacuation());
+      return {};
     case fleet::fleet_command::BODY_NOT_SET:
       break;
   }
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "fleet/evacuations.h"
 #include "fleet/task-key.h"
 #include "proto/fleet.pb.h"
 
@@ -98,6 +99,8 @@
   const std::map<worker_id, uint64_t>& workers() const { return last_ends_; }
   /// Workers that left in order and whose ends may still come.
   const std::set<worker_id>& left() const { return left_; }
+  /// Data centres in which nothing is to be started.
+  const evacuations& evacuated() const { return evacuations_; }
 
   /// True when all steps that `step` depends on are done in that time.
   bool step_is_due(const job_entry& job, uint32_t time, uint32_t step) const;
@@ -135,6 +138,7 @@
   std::map<worker_id, std::set<run_key>> runs_;
   std::map<worker_id, uint64_t> last_ends_;
   std::set<worker_id> left_;
+  evacuations evacuations_;
   uint64_t next_order_ = 1;
 };
 
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -355,6 +355,7 @@
   const auto of_job = [&](const auto& p) { return p.first.job == job; };
   std::erase_if(forecasts_, of_job);
   std::erase_if(try_again_, of_job);
+  std::erase_if(barred_told_, [&](const auto& it) { return it.job == job; });
 }
 
 }  // namespace kestrelreel
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -19,6 +19,10 @@
 /// Workers whose serving tasks bear all fill tasks are kept for those that
 /// others suffer from; above any room that is left over.
 constexpr double spared_cost = 60'000;
+/// A worker that is slow from its start is taken when no other will do: those
+/// of a data centre that is taken back are all empty and would draw every task
+/// that waits. Above all but a task's data, which costs it as much.
+constexpr double cold_cost = 300'000;
 
 }  // namespace detail
 
@@ -42,10 +46,14 @@
 
 bool fleet_scheduler::is_usable(const worker_view& it) const {
   const time_point now = clock_.now();
-  return it.known && !it.leaves && !it.beat.draining() &&
+  return it.known && !it.leaves && !it.beat.draining() && !is_evacuated(it) &&
          it.avoided_until <= now && now - it.heard < settings_.silent_limit;
 }
 
+bool fleet_scheduler::is_evacuated(const worker_view& it) const {
+  return book_.evacuated().holds(it.beat.data_centre());
+}
+
 std::vector<worker_view*> fleet_scheduler::candidates() {
   std::vector<worker_view*> all;
   for (auto& [id, it] : workers_.views()) {
@@ -276,6 +284,7 @@
     for (const placement& it : placed) it.where->load = load_of(*it.where);
     return;
   }
+  if (placed.empty() && anywhere) report_if_barred(place, all);
   if (!placed.empty()) plan_of(job.number).idle_since.reset();
   for (const placement& it : placed) {
     report_late_start(it, spec.long_running());
@@ -364,12 +373,18 @@
   } else if (spec.target_ms() <= 0 && bears_all(it)) {
     score -= detail::spared_cost;
   }
+  if (is_cold(it)) score -= detail::cold_cost;
   if (spec.target_ms() > 0) {
     score += detail::image_bonus * alike(it, step.image);
   }
   return score;
 }
 
+bool fleet_scheduler::is_cold(const worker_view& it) const {
+  const milliseconds left(static_cast<int64_t>(it.beat.cold_left_ms()));
+  return clock_.now() - it.told < left;
+}
+
 /// How well a task would stand on a worker; none where it must not run.
 std::optional<double> fleet_scheduler::value_of(const step_to_place& step,
                                                 const worker_view& it) const {
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -250,6 +250,8 @@
   bool can_be_tried(job_number number, const job_entry& job);
   std::vector<worker_view*> candidates();
   bool is_usable(const worker_view& it) const;
+  bool is_evacuated(const worker_view& it) const;
+  bool is_cold(const worker_view& it) const;
   step_to_place place_of(const job_entry& job, const task_key& first,
                          bool starved);
   void plan_job(const waiting_job& job, std::vector<worker_view*>& all,
@@ -303,6 +305,8 @@
   void report_wait(const step_to_place& step, uint64_t tasks,
                    milliseconds waited, const std::vector<yielding>& workers);
   void report_late_start(const placement& it, bool lasts);
+  void report_if_barred(const step_to_place& step,
+                        const std::vector<worker_view*>& usable);
   bool may_carry(const worker_view& it, const step_to_place& step) const;
   // Room kept for them: kept-rooms.cc.
   bool may_yield(const run_key& run, uint32_t priority) const;
@@ -341,6 +345,8 @@
   // Of serving steps, by the key of their first task.
   std::map<task_key, load_forecast> forecasts_;
   std::unordered_map<job_number, job_plan> plans_;
+  // Steps of which it was told that only evacuated workers could carry them.
+  std::set<task_key> barred_told_;
   // When a step that found no room is tried again, by its first task.
   std::map<task_key, time_point> try_again_;
   // Until when a step is left alone for which no room could be made.
--- a/fleet/waits.cc
+++ b/fleet/waits.cc
@@ -199,6 +199,26 @@
       .with("waited-ms", waited.count());
 }
 
+/// Tells once of a step that no worker may carry but evacuated ones: it waits
+/// until the evacuation is taken back.
+void fleet_scheduler::report_if_barred(
+    const step_to_place& step, const std::vector<worker_view*>& usable) {
+  if (book_.evacuated().empty() || barred_told_.contains(step.first)) return;
+  const auto carries = [&](const auto* it) { return may_carry(*it, step); };
+  if (std::any_of(usable.begin(), usable.end(), carries)) return;
+  const auto& views = workers_.views();
+  const auto n = std::count_if(views.begin(), views.end(), [&](const auto& it) {
+    return is_evacuated(it.second) && carries(&it.second);
+  });
+  if (n == 0) return;
+  barred_told_.insert(step.first);
+  log_event(detail::service_name, log_level::warn, "step-waits-for-evacuation")
+      .with("step", to_text(step.first))
+      .with("label", step.spec.requires_label())
+      .with("workers-evacuated", n)
+      .with("data-centres", book_.evacuated().names());
+}
+
 void fleet_scheduler::release_room(worker_view& where, const task_key& step) {
   const auto drop = [&](worker_view& it) {
     const auto kept =
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -102,6 +102,7 @@
   it.beat.set_clock_ms(beat.clock_ms());
   it.beat.set_draining(beat.draining());
   it.beat.set_remaining_ms(beat.remaining_ms());
+  it.beat.set_cold_left_ms(beat.cold_left_ms());
   *it.beat.mutable_ended() = beat.ended();
   const int n = beat.readings_size();
   if (n == 0) return true;
