Evacuation in listed clusters: part of the desired state, by kestrelreel evacuate and return

Cause: the product's own interface lacked the order that the platform's has.

Change: the desired state names evacuated data centres; kestrelreel evacuate NAME and return NAME change just that of the version in force, as cancel does. A holder there starts nothing, stops what was ordered and isn't known to run, and offers no room; the leader gives no job there. status tells version, author and age, explain the reason; a data centre without a box is refused.

--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <iterator>
 #include <set>
@@ -20,6 +21,7 @@
 #include "cli/client.h"
 #include "cli/show.h"
 #include "config/desired-state.h"
+#include "record/spec.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -261,25 +263,21 @@
   return exit_code::ok;
 }
 
-/// Takes one job out of the desired state, as a change of the version in
-/// force.
-exit_code cancel(option_map& options, const common_options& common) {
-  const std::string job = text_option(options, "JOB");
+using item_list = std::vector<proto::spec_item>;
+
+/// Changes the desired state in force by one item, which `edit` adds or takes
+/// out; when it returns false, its answer stands instead.
+exit_code change_now(option_map& options, const common_options& common,
+                     const std::function<bool(item_list&, exit_code&)>& edit) {
   operator_client client(common.via, common.timeout);
   const auto now = client.get();
   if (!now.ok()) return report(now.status());
   desired_state state;
   state.replaces = now->version();
   state.version = now->version() + 1;
-  const std::string key = "job/" + job;
-  for (const proto::spec_item& it : now->items()) {
-    if (it.key() != key) state.items.push_back(it);
-  }
-  if (state.items.size() == static_cast<size_t>(now->items_size())) {
-    std::cerr << "kestrelreel: there is no job '" << job
-              << "'; 'kestrelreel get' shows them\n";
-    return exit_code::refused;
-  }
+  state.items.assign(now->items().begin(), now->items().end());
+  exit_code answer = exit_code::ok;
+  if (!edit(state.items, answer)) return answer;
   proto::apply_request request = make_request(options, state);
   const auto reply = client.apply(request);
   if (!reply.ok()) return report(reply.status());
@@ -290,6 +288,45 @@
   return exit_code::ok;
 }
 
+bool take_out(item_list& items, const std::string& key) {
+  return std::erase_if(items, [&](const auto& it) { return it.key() == key; }) >
+         0;
+}
+
+exit_code cancel(option_map& options, const common_options& common) {
+  const std::string job = text_option(options, "JOB");
+  return change_now(options, common, [&](item_list& items, exit_code& answer) {
+    if (take_out(items, "job/" + job)) return true;
+    std::cerr << "kestrelreel: there is no job '" << job
+              << "'; 'kestrelreel get' shows them\n";
+    answer = exit_code::refused;
+    return false;
+  });
+}
+
+/// The same order again is no error: its first answer may have been lost.
+exit_code evacuate(option_map& options, const common_options& common) {
+  const std::string name = text_option(options, "NAME");
+  return change_now(options, common, [&](item_list& items, exit_code&) {
+    proto::spec_item item;
+    item.mutable_evacuation()->set_data_centre(name);
+    item.set_key(evacuation_key(name));
+    const bool held = take_out(items, item.key());
+    items.push_back(std::move(item));
+    if (held) std::cout << name << " is evacuated already\n";
+    return !held;
+  });
+}
+
+exit_code take_back(option_map& options, const common_options& common) {
+  const std::string name = text_option(options, "NAME");
+  return change_now(options, common, [&](item_list& items, exit_code&) {
+    if (take_out(items, evacuation_key(name))) return true;
+    std::cout << name << " is not evacuated\n";
+    return false;
+  });
+}
+
 }  // namespace detail
 
 exit_code run_command(std::map<std::string, docopt::value>& options) {
@@ -303,6 +340,8 @@
   if (options["tasks"].asBool()) return detail::tasks(common);
   if (options["explain"].asBool()) return detail::explain(options, common);
   if (options["cancel"].asBool()) return detail::cancel(options, common);
+  if (options["evacuate"].asBool()) return detail::evacuate(options, common);
+  if (options["return"].asBool()) return detail::take_back(options, common);
   return exit_code::usage;
 }
 
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -21,6 +21,8 @@
   kestrelreel tasks [options]
   kestrelreel explain TASK [options]
   kestrelreel cancel JOB [options]
+  kestrelreel evacuate NAME [options]
+  kestrelreel return NAME [options]
   kestrelreel check FILE
   kestrelreel (--help | --version)
 
@@ -31,7 +33,8 @@
            Example: kestrelreel diff serasis.json
   get      Print the desired state in force, as a file for apply.
            Example: kestrelreel get > now.json
-  status   Show the boxes and how many losses the record survives now.
+  status   Show the boxes, how many losses the record survives now, and which
+           data centres are evacuated, since when and by whom.
            Example: kestrelreel status --output json
   tasks    Show all tasks and where they run.
            Example: kestrelreel tasks
@@ -39,6 +42,10 @@
            Example: kestrelreel explain job/night-plan/0
   cancel   Take a job out of the desired state.
            Example: kestrelreel cancel night-plan
+  evacuate Start nothing more in a data centre; what runs there goes on.
+           Example: kestrelreel evacuate kumluca
+  return   Take an evacuation back.
+           Example: kestrelreel return kumluca
   check    Read FILE and report all of its faults.
            Example: kestrelreel check serasis.json
 
--- a/cli/show.cc
+++ b/cli/show.cc
@@ -1,5 +1,6 @@
 #include "cli/show.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <map>
 
@@ -64,6 +65,23 @@
 
 }  // namespace detail
 
+std::string show_evacuations(const std::vector<proto::status_reply>& replies) {
+  // Of the box that is furthest.
+  const auto best = std::max_element(
+      replies.begin(), replies.end(),
+      [](const auto& a, const auto& b) { return a.version() < b.version(); });
+  std::string out;
+  if (best == replies.end()) return out;
+  constexpr uint64_t ms_per_s = 1'000;
+  for (const proto::evacuation_state& it : best->evacuations()) {
+    const uint64_t age =
+        best->now_ms() - std::min(best->now_ms(), it.ordered_at_ms());
+    str_append(out, "evacuated: ", it.data_centre(), ", version ", it.version(),
+               ", by ", it.author(), ", for ", age / ms_per_s, " s\n");
+  }
+  return out;
+}
+
 std::string show_difference(const proto::apply_reply& reply) {
   std::string out;
   for (const std::string& it : reply.added()) {
@@ -110,7 +128,8 @@
                str_cat(it.version_in_force()), str_cat(it.applied()),
                it.holder_epoch() > 0 ? str_cat(it.holder_epoch()) : "-"});
   }
-  return table.str() + detail::replica_line(replies);
+  return table.str() + detail::replica_line(replies) +
+         show_evacuations(replies);
 }
 
 std::string show_tasks(const std::vector<proto::tasks_reply>& replies,
--- a/cli/show.h
+++ b/cli/show.h
@@ -16,6 +16,9 @@
 /// The boxes, each by its own word where it answered.
 std::string show_status(const std::vector<proto::status_reply>& replies,
                         bool json);
+/// A line for each evacuated data centre; none without.
+std::string show_evacuations(const std::vector<proto::status_reply>& replies);
+
 /// All tasks of the data centres that answered.
 std::string show_tasks(const std::vector<proto::tasks_reply>& replies,
                        bool json);
--- a/config/desired-state-test.cc
+++ b/config/desired-state-test.cc
@@ -19,6 +19,7 @@
   "jobs": {"night-plan": {"team": "growers", "cpu": 8, "memory": "24GiB",
     "accelerators": 1, "tasks": 12, "run_time": "20m", "urgent": true,
     "data_centres": ["kumluca"]}},
+  "evacuated": ["demre", "serik"],
 })";
 
 struct fault_row {
@@ -98,6 +99,7 @@
   CHECK_EQUAL(7, b.version);
   CHECK_EQUAL(5, b.replaces);
   CHECK_EQUAL(a.items.size(), b.items.size());
+  STRCMP_EQUAL("evacuation/serik", a.items.back().key().c_str());
   for (size_t i = 0; i < a.items.size(); ++i) {
     STRCMP_EQUAL(a.items[i].ShortDebugString().c_str(),
                  b.items[i].ShortDebugString().c_str());
--- a/config/desired-state.cc
+++ b/config/desired-state.cc
@@ -16,7 +16,7 @@
 constexpr uint64_t most_accelerators = 64;
 constexpr uint64_t most_priority = 1'000;
 
-/// Reads the three kinds of items of one file.
+/// Reads the kinds of items of one file.
 class state_reader {
  public:
   state_reader(fault_collector& faults, desired_state& state)
@@ -38,6 +38,12 @@
     all.each("jobs", [&](const auto& key, const auto& node, const auto& at) {
       read_job(key, node, at);
     });
+    for (const std::string& it : all.texts("evacuated")) {
+      proto::spec_item item;
+      item.mutable_evacuation()->set_data_centre(it);
+      item.set_key("evacuation/" + it);
+      state_.items.push_back(std::move(item));
+    }
     all.finish();
   }
 
@@ -225,6 +231,7 @@
   boost::json::object teams;
   boost::json::object services;
   boost::json::object jobs;
+  boost::json::array evacuated;
   for (const proto::spec_item& it : state.items) {
     if (it.has_team()) {
       teams[it.team().name()] = detail::format_team(it.team());
@@ -232,6 +239,8 @@
       services[it.service().name()] = detail::format_service(it.service());
     } else if (it.has_job()) {
       jobs[it.job().name()] = detail::format_job(it.job());
+    } else if (it.has_evacuation()) {
+      evacuated.emplace_back(it.evacuation().data_centre());
     }
   }
   boost::json::object all;
@@ -240,6 +249,7 @@
   all["teams"] = std::move(teams);
   all["services"] = std::move(services);
   all["jobs"] = std::move(jobs);
+  if (!evacuated.empty()) all["evacuated"] = std::move(evacuated);
   return boost::json::serialize(all);
 }
 
--- a/config/desired-state.h
+++ b/config/desired-state.h
@@ -15,7 +15,7 @@
   uint64_t version = 0;
   /// The version that it is meant to follow.
   uint64_t replaces = 0;
-  /// Teams, services and jobs, each with its key.
+  /// Teams, services, jobs and evacuated data centres, each with its key.
   std::vector<proto::spec_item> items;
 };
 
--- a/daemon/holder-service.cc
+++ b/daemon/holder-service.cc
@@ -164,6 +164,8 @@
   // Without a current record wanted tasks would look like orphans.
   if (!holds() || !record_->ready()) return;
   update_tasks();
+  book_->set_evacuated(
+      record_->state().evacuated(record_->boxes().own_data_centre()));
   book_->expire();
   book_->place();
   sync_workers();
--- a/daemon/operator-service.cc
+++ b/daemon/operator-service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "base/text.h"
 #include "kernel/log.h"
 #include "net/grpc-server.h"
@@ -44,6 +45,19 @@
   stop_grpc_server(*server_);
 }
 
+std::vector<std::string> operator_service::unknown_data_centres(
+    const proto::apply_request& request) const {
+  std::vector<std::string> unknown;
+  for (const proto::spec_item& it : request.items()) {
+    if (!it.has_evacuation()) continue;
+    const data_centre_id name(it.evacuation().data_centre());
+    if (record_->boxes().in_data_centre(name).empty()) {
+      unknown.push_back(name.str());
+    }
+  }
+  return unknown;
+}
+
 void operator_service::fill_difference(const proto::apply_request& request,
                                        proto::apply_reply& reply) const {
   const spec_difference it =
@@ -61,6 +75,12 @@
         "a change needs a request id, a version, and a lower version that it "
         "replaces"));
   }
+  const std::vector<std::string> unknown = unknown_data_centres(request);
+  if (!unknown.empty()) {
+    return done(absl::InvalidArgumentError(
+        str_cat("no box stands in the data centre to be evacuated: ",
+                absl::StrJoin(unknown, ", "))));
+  }
   fill_difference(request, reply);
   if (request.dry_run()) {
     reply.mutable_outcome()->set_version(record_->state().version());
@@ -125,6 +145,7 @@
   change.set_author(it.request.author());
   change.set_replaces(it.request.replaces());
   change.set_version(it.request.version());
+  change.set_proposed_at_ms(wall_clock_ms());
   record_->propose(command);
 }
 
@@ -170,6 +191,10 @@
   reply.set_leader(record_->leader().str());
   reply.set_version(record_->state().version());
   reply.set_losses_survived(-1);
+  reply.set_now_ms(wall_clock_ms());
+  for (const auto& [name, it] : record_->state().evacuations()) {
+    *reply.add_evacuations() = it;
+  }
   for (const box_entry& it : record_->boxes().boxes()) {
     *reply.add_boxes() = status_of(it);
   }
--- a/daemon/operator-service.h
+++ b/daemon/operator-service.h
@@ -49,6 +49,9 @@
   bool finished(pending_change& it);
   void propose(pending_change& it);
   void review();
+  /// Data centres that the request evacuates and no box stands in.
+  std::vector<std::string> unknown_data_centres(
+      const proto::apply_request& request) const;
   void fill_difference(const proto::apply_request& request,
                        proto::apply_reply& reply) const;
   proto::box_status status_of(const box_entry& box) const;
--- a/placement/planner-test.cc
+++ b/placement/planner-test.cc
@@ -76,6 +76,27 @@
   }
 }
 
+TEST(planner, no_job_is_given_to_an_evacuated_data_centre) {
+  record_state state = record_of({{}, {"a"}});
+  proto::command command;
+  proto::state_change& change = *command.mutable_change();
+  change.set_request_id("evacuates");
+  change.set_replaces(state.version());
+  change.set_version(state.version() + 1);
+  change.set_digest(1);
+  proto::spec_item& item = *change.add_puts();
+  item.set_key("evacuation/a");
+  item.mutable_evacuation()->set_data_centre("a");
+  proto::log_entry entry;
+  entry.set_index(2);
+  entry.set_kind(proto::entry_command);
+  entry.set_payload(command.SerializeAsString());
+  state.apply(entry);
+  const auto plan = plan_jobs(state, rooms_of({{"a", 20'000}, {"b", 10'000}}));
+  LONGS_EQUAL(1, plan.grants_size());
+  STRCMP_EQUAL("b", plan.grants(0).data_centre().c_str());
+}
+
 TEST(planner, a_job_that_was_given_is_not_given_again) {
   record_state state = record_of({{}});
   const auto rooms = rooms_of({{"a", 10'000}});
--- a/placement/planner.cc
+++ b/placement/planner.cc
@@ -26,6 +26,8 @@
 proto::delegation plan_jobs(const record_state& state,
                             data_centre_rooms rooms) {
   proto::delegation plan;
+  std::erase_if(rooms,
+                [&](const auto& it) { return state.evacuated(it.first); });
   for (const auto& [name, job] : state.jobs()) {
     if (!job.data_centre.empty()) continue;
     const auto item = state.items().find("job/" + name);
--- a/placement/planner.h
+++ b/placement/planner.h
@@ -16,7 +16,7 @@
 
 /// A data centre for each job that has none. A job goes to the allowed data
 /// centre with the most processors free after what this call gave before it;
-/// a job whose data centres all lack a holder waits.
+/// a job whose data centres all lack a holder, or are evacuated, waits.
 proto::delegation plan_jobs(const record_state& state, data_centre_rooms rooms);
 
 }  // namespace kestrelreel
--- a/placement/task-book.cc
+++ b/placement/task-book.cc
@@ -34,6 +34,8 @@
       return "no worker has room now";
     case wait_reason::too_large:
       return "larger than any worker of this data centre";
+    case wait_reason::evacuated:
+      return "this data centre is evacuated";
   }
   return "";
 }
@@ -140,6 +142,17 @@
   }
 }
 
+/// What was ordered and is not known to run is stopped: it must not begin long
+/// after the order.
+void task_book::set_evacuated(bool now) {
+  if (std::exchange(evacuated_, now) || !now) return;
+  for (auto& [id, task] : tasks_) {
+    if (!task.run || task.run->phase != run_phase::starting) continue;
+    task.run->phase = run_phase::stopping;
+    prompt(*task.run->worker);
+  }
+}
+
 void task_book::update_row(worker_entry& worker) {
   const bool usable = worker.listed && !worker.info.leaving && worker.synced;
   index_.set(worker.row, worker.free(), usable);
@@ -279,6 +292,10 @@
 
 void task_book::place() {
   if (clock_.now() < barrier_end_) return;
+  if (evacuated_) {
+    for (task_entry* task : waiting_) task->reason = wait_reason::evacuated;
+    return;
+  }
   size_t n = 0;
   std::vector<resource_amount> too_large;
   for (auto it = waiting_.begin();
@@ -311,6 +328,7 @@
 
 resource_amount task_book::free_room() const {
   resource_amount room;
+  if (evacuated_) return room;
   for (const auto& [id, it] : workers_) {
     if (it.listed && !it.info.leaving && it.synced) room += it.free();
   }
--- a/placement/task-book.h
+++ b/placement/task-book.h
@@ -53,7 +53,14 @@
 const char* to_string(run_phase phase);
 
 /// Why a task does not run.
-enum class wait_reason { none, waiting, failed_lately, no_room, too_large };
+enum class wait_reason {
+  none,
+  waiting,
+  failed_lately,
+  no_room,
+  too_large,
+  evacuated,
+};
 /// The reason in words for operators; empty for `none`.
 const char* to_string(wait_reason reason);
 
@@ -155,6 +162,10 @@
   /// tasks, but is told to go on with those it has.
   void set_workers(const std::vector<worker_info>& workers);
 
+  /// While it is evacuated, nothing starts in this data centre; what runs goes
+  /// on.
+  void set_evacuated(bool now);
+
   /// Workers to be sent the next exchange now.
   std::vector<worker_id> due() const;
   /// The next exchange with a worker; counts as sent.
@@ -236,6 +247,7 @@
   std::string holder_;
   time_point barrier_end_{};
   uint64_t attempts_ = 0;
+  bool evacuated_ = false;
   std::map<task_id, task_entry> tasks_;
   std::map<worker_id, worker_entry> workers_;
   worker_index index_;
--- a/record/record-state-test.cc
+++ b/record/record-state-test.cc
@@ -159,3 +159,58 @@
   CHECK_EQUAL(1, it.state.jobs().at("j").done.size());
   CHECK_TRUE(it.state.jobs().at("j").done.contains(2));
 }
+
+// The change that first ordered it counts for its version and age, also after
+// a snapshot; what a later file still names goes on.
+TEST(record_state, evacuations_are_known_by_the_change_that_ordered_them) {
+  record_with_log record;
+  const auto put = [&](uint64_t version, const char* evacuate,
+                       const char* take_back) {
+    proto::command command;
+    proto::state_change& it = *command.mutable_change();
+    it.set_request_id("r" + std::to_string(version));
+    it.set_author("ayse");
+    it.set_replaces(record.state.version());
+    it.set_version(version);
+    it.set_digest(version);
+    it.set_proposed_at_ms(1'000 * version);
+    if (*evacuate != 0) {
+      proto::spec_item& item = *it.add_puts();
+      item.set_key(evacuation_key(evacuate));
+      item.mutable_evacuation()->set_data_centre(evacuate);
+    }
+    if (*take_back != 0) it.add_deletes(evacuation_key(take_back));
+    record.apply(command);
+  };
+  struct row {
+    uint64_t version;
+    const char* evacuate;
+    const char* take_back;
+    bool kumluca;
+    bool demre;
+    uint64_t kumluca_since;
+  };
+  const row rows[] = {{1, "kumluca", "", true, false, 1},
+                      {2, "kumluca", "", true, false, 1},
+                      {3, "demre", "", true, true, 1},
+                      {4, "", "kumluca", false, true, 0},
+                      {5, "kumluca", "demre", true, false, 5}};
+  for (const row& it : rows) {
+    put(it.version, it.evacuate, it.take_back);
+    proto::log_snapshot snapshot;
+    snapshot.set_index(record.state.applied());
+    snapshot.set_data(record.state.save());
+    record_state other;
+    other.install(snapshot);
+    const record_state* const states[] = {&record.state, &other};
+    for (const record_state* state : states) {
+      CHECK_EQUAL(it.kumluca, state->evacuated(data_centre_id("kumluca")));
+      CHECK_EQUAL(it.demre, state->evacuated(data_centre_id("demre")));
+      if (!it.kumluca) continue;
+      const auto& order = state->evacuations().at("kumluca");
+      CHECK_EQUAL(it.kumluca_since, order.version());
+      CHECK_EQUAL(1'000 * it.kumluca_since, order.ordered_at_ms());
+      STRCMP_EQUAL("ayse", order.author().c_str());
+    }
+  }
+}
--- a/record/record-state.cc
+++ b/record/record-state.cc
@@ -66,11 +66,27 @@
     constexpr std::string_view prefix = "job/";
     if (key.starts_with(prefix)) jobs_.erase(key.substr(prefix.size()));
   }
+  std::erase_if(evacuations_, [&](const auto& it) {
+    return !items_.contains(evacuation_key(it.first));
+  });
   for (const proto::spec_item& it : change.puts()) {
     if (it.has_job()) jobs_.try_emplace(it.job().name());
+    if (it.has_evacuation()) note_evacuation(change, it);
   }
 }
 
+/// The first change that orders it counts for its age.
+void record_state::note_evacuation(const proto::state_change& change,
+                                   const proto::spec_item& item) {
+  const std::string& name = item.evacuation().data_centre();
+  const auto [it, fresh] = evacuations_.try_emplace(name);
+  if (!fresh) return;
+  it->second.set_data_centre(name);
+  it->second.set_version(change.version());
+  it->second.set_author(change.author());
+  it->second.set_ordered_at_ms(change.proposed_at_ms());
+}
+
 void record_state::remember(proto::change_outcome outcome) {
   outcome_order_.push_back(outcome.request_id());
   outcomes_[outcome.request_id()] = std::move(outcome);
@@ -120,6 +136,7 @@
     job.set_data_centre(it.data_centre.str());
     job.mutable_done()->Add(it.done.begin(), it.done.end());
   }
+  for (const auto& [name, it] : evacuations_) *all.add_evacuations() = it;
   return all.SerializeAsString();
 }
 
@@ -139,6 +156,9 @@
   for (proto::change_outcome& it : *all.mutable_outcomes()) {
     remember(std::move(it));
   }
+  for (const proto::evacuation_state& it : all.evacuations()) {
+    evacuations_[it.data_centre()] = it;
+  }
   for (const proto::job_progress& it : all.jobs()) {
     job_state& job = jobs_[it.job()];
     job.data_centre = data_centre_id(it.data_centre());
--- a/record/record-state.h
+++ b/record/record-state.h
@@ -47,6 +47,13 @@
   const spec_items& items() const { return items_; }
   /// Jobs of the desired state by name.
   const std::map<std::string, job_state>& jobs() const { return jobs_; }
+  /// Evacuated data centres by name.
+  const std::map<std::string, proto::evacuation_state>& evacuations() const {
+    return evacuations_;
+  }
+  bool evacuated(const data_centre_id& it) const {
+    return evacuations_.contains(it.str());
+  }
   /// Keys of the items that changed since the last call, or whose job's state
   /// did; `all` when a snapshot changed everything.
   struct touched_items {
@@ -64,6 +71,8 @@
   void apply_completion(const proto::completion& completion);
   proto::change_result judge(const proto::state_change& change) const;
   void accept(const proto::state_change& change);
+  void note_evacuation(const proto::state_change& change,
+                       const proto::spec_item& item);
   void remember(proto::change_outcome outcome);
 
   uint64_t applied_ = 0;
@@ -74,6 +83,7 @@
   std::string request_id_;
   spec_items items_;
   std::map<std::string, job_state> jobs_;
+  std::map<std::string, proto::evacuation_state> evacuations_;
   std::unordered_map<std::string, proto::change_outcome> outcomes_;
   std::deque<std::string> outcome_order_;
   touched_items touched_;
--- a/record/spec.cc
+++ b/record/spec.cc
@@ -6,6 +6,10 @@
 
 namespace kestrelreel {
 
+std::string evacuation_key(const std::string& data_centre) {
+  return "evacuation/" + data_centre;
+}
+
 std::string key_of(const proto::spec_item& item) {
   switch (item.body_case()) {
     case proto::spec_item::kTeam:
@@ -14,6 +18,8 @@
       return "service/" + item.service().name();
     case proto::spec_item::kJob:
       return "job/" + item.job().name();
+    case proto::spec_item::kEvacuation:
+      return evacuation_key(item.evacuation().data_centre());
     case proto::spec_item::BODY_NOT_SET:
       break;
   }
--- a/record/spec.h
+++ b/record/spec.h
@@ -16,6 +16,8 @@
 
 /// The key that an item's kind and name give it.
 std::string key_of(const proto::spec_item& item);
+/// The key of the item that evacuates a data centre.
+std::string evacuation_key(const std::string& data_centre);
 /// Items by their keys.
 spec_items by_key(
     const google::protobuf::RepeatedPtrField<proto::spec_item>& items);
