--- a/support/emulator/emulator.cc
+++ b/support/emulator/emulator.cc
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "base/text.h"
+#include "support/emulator/emulated-worker.h"
+#include "support/emulator/job-ledger.h"
 
 namespace kestrelreel::emulator {
 namespace detail {
@@ -16,19 +18,14 @@
 constexpr milliseconds step_time{20};
 constexpr milliseconds tick_time{100};
 constexpr milliseconds beat_time{200};
-/// A lasting task serves after so long.
-constexpr milliseconds serving_start{500};
 /// Jobs come while serving tasks are settled.
 constexpr milliseconds lead{3'000};
 /// What comes late has so long to end.
 constexpr milliseconds tail{15'000};
 constexpr double ms_per_s = 1'000;
 /// Amounts per processor of a worker with 32, as the users' recorded days show.
-constexpr double harmless = 0.01;
-constexpr double harmful = 0.12;
+constexpr double harmless = 0.01, harmful = 0.12;
 constexpr double reference_cores = 32;
-constexpr double late_worth = 0.15;
-constexpr double late_factor = 3;
 constexpr double target_x = 6;
 constexpr double most_load = 0.98;
 
@@ -50,33 +47,6 @@
   std::deque<fleet::fleet_command> proposed;
 };
 
-struct run {
-  fleet::task_ref task;
-  uint32_t number = 0;
-  fleet::step_spec spec;
-  double work_ms = 0;
-  double done_ms = 0;
-  double pace = 1;
-  double use_milli = 0;
-  double tail_ms = 0;
-  time_point since{};
-};
-
-struct worker {
-  fleet::worker_beat beat;
-  std::vector<run> runs;
-  std::deque<fleet::run_end> ended;
-  uint64_t ends = 0;
-  time_point next_beat{};
-};
-
-struct asked_job {
-  std::string queue;
-  time_point came{};
-  milliseconds objective{};
-  double worth = 0;
-};
-
 }  // namespace detail
 
 class emulation {
@@ -102,9 +72,9 @@
       clock_.at += detail::step_time;
       if (clock_.at >= begin && clock_.at < end) arrive(begin);
       const bool counts = clock_.at >= begin && clock_.at < end;
-      for (detail::worker& it : workers_) work(it, counts);
+      for (emulated_worker& it : workers_) work(it, counts);
       if (counts) look_at_serving();
-      for (detail::worker& it : workers_) {
+      for (emulated_worker& it : workers_) {
         if (clock_.at >= it.next_beat) call(it);
       }
       const auto before = std::chrono::steady_clock::now();
@@ -114,7 +84,7 @@
       }
       commit();
       spent_ += std::chrono::steady_clock::now() - before;
-      look_at_jobs();
+      ledger_.look(controller_.book(), clock_.at, out_);
     }
     const auto steps = (end + detail::tail - begin) / detail::tick_time;
     out_.decide_us = std::chrono::duration<double, std::micro>(spent_).count() /
@@ -267,18 +237,17 @@
     submit(it.queue, steps);
     const double mean =
         it.work_ms * it.steps * it.width * static_cast<double>(it.cpu_milli);
-    detail::asked_job& job = asked_[last_job_];
+    asked_job job;
     job.queue = it.queue;
     job.came = clock_.at;
     job.objective = milliseconds(static_cast<int64_t>(
         it.stretch * chain + static_cast<double>(it.objective_ms)));
     job.worth = std::min(4.0, 0.3 + 0.7 * work / mean);
-    ++out_.kinds[it.queue].asked;
-    out_.kinds[it.queue].owed += job.worth;
+    ledger_.asked(job_number(last_job_), job, out_);
   }
 
   /// What its users take of a serving task's processors now.
-  double own_load(const detail::run& it) const {
+  double own_load(const emulated_run& it) const {
     const double at = static_cast<double>(clock_.at.count()) / detail::ms_per_s;
     const double phase = phases_.at(it.task.job());
     return pattern_.mean *
@@ -287,17 +256,17 @@
                              phase));
   }
 
-  double cost(const detail::run& serving, const detail::run& fill) const {
+  double cost(const emulated_run& serving, const emulated_run& fill) const {
     const auto number = [](const std::string& image) {
       return std::stoul(image.substr(1));
     };
     return costs_[number(serving.spec.image())][number(fill.spec.image())];
   }
 
-  void share_processors(detail::worker& it) const {
+  void share_processors(emulated_worker& it) const {
     auto left = static_cast<double>(pattern_.worker_cpu_milli);
     double wanted = 0;
-    for (detail::run& run : it.runs) {
+    for (emulated_run& run : it.runs) {
       const auto cpu = static_cast<double>(run.spec.cpu_milli());
       if (run.spec.fills()) {
         wanted += cpu * run.pace;
@@ -307,29 +276,29 @@
       left -= run.use_milli;
     }
     const double share = wanted > 0 ? std::clamp(left / wanted, 0.0, 1.0) : 1;
-    for (detail::run& run : it.runs) {
+    for (emulated_run& run : it.runs) {
       if (!run.spec.fills()) continue;
       run.use_milli =
           static_cast<double>(run.spec.cpu_milli()) * run.pace * share;
     }
   }
 
-  void disturb(detail::worker& it, bool counts) {
+  void disturb(emulated_worker& it, bool counts) {
     const double scale = detail::reference_cores /
                          static_cast<double>(pattern_.worker_cpu_milli);
     const double dt =
         static_cast<double>(detail::step_time.count()) / detail::ms_per_s;
-    for (detail::run& run : it.runs) {
+    for (emulated_run& run : it.runs) {
       if (!run.spec.long_running()) continue;
       double added = 0;
-      for (const detail::run& other : it.runs) {
+      for (const emulated_run& other : it.runs) {
         if (!other.spec.fills()) continue;
         added += cost(run, other) * other.use_milli * scale;
       }
       const double load =
           std::min(detail::most_load, own_load(run) * (1 + added));
       run.tail_ms = pattern_.target_ms / detail::target_x / (1 - load);
-      const bool serves = clock_.at - run.since >= detail::serving_start;
+      const bool serves = clock_.at - run.since >= serving_start;
       if (!counts || !serves) continue;
       const bool over = run.tail_ms > pattern_.target_ms;
       out_.at_work_s += dt;
@@ -340,12 +309,12 @@
     }
   }
 
-  void work(detail::worker& it, bool counts) {
+  void work(emulated_worker& it, bool counts) {
     const auto step = static_cast<double>(detail::step_time.count());
     share_processors(it);
     disturb(it, counts);
     for (size_t i = 0; i < it.runs.size();) {
-      detail::run& run = it.runs[i];
+      emulated_run& run = it.runs[i];
       const bool lasts = run.spec.long_running();
       if (!lasts) {
         run.done_ms +=
@@ -355,38 +324,13 @@
         ++i;
         continue;
       }
-      end(it, i, fleet::run_done, "");
+      it.end(i, fleet::run_done, "", clock_.at);
     }
   }
 
-  void end(detail::worker& it, size_t at, fleet::run_outcome outcome,
-           const std::string& saved) {
-    fleet::run_end& end = it.ended.emplace_back();
-    end.set_number(++it.ends);
-    *end.mutable_task() = it.runs[at].task;
-    end.set_run(it.runs[at].number);
-    end.set_outcome(outcome);
-    end.set_saved(saved);
-    it.runs.erase(it.runs.begin() + static_cast<std::ptrdiff_t>(at));
-    it.next_beat = std::min(it.next_beat, clock_.at + milliseconds(50));
-  }
-
-  void call(detail::worker& it) {
+  void call(emulated_worker& it) {
     it.next_beat = clock_.at + detail::beat_time;
-    it.beat.set_sequence(it.beat.sequence() + 1);
-    it.beat.set_clock_ms(static_cast<uint64_t>(clock_.at.count()));
-    it.beat.clear_running();
-    it.beat.clear_ended();
-    for (const detail::run& run : it.runs) {
-      fleet::running_row& row = *it.beat.add_running();
-      *row.mutable_task() = run.task;
-      row.set_run(run.number);
-      row.set_saved(run.spec.long_running() ? "" : str_cat(run.done_ms));
-      row.set_percent(percent_of(run));
-      row.set_reading(run.spec.long_running() ? std::round(run.tail_ms)
-                                              : run.use_milli);
-    }
-    for (const fleet::run_end& end : it.ended) *it.beat.add_ended() = end;
+    it.fill_beat(clock_.at);
     fleet::fleet_request request;
     *request.mutable_beat() = it.beat;
     const auto before = std::chrono::steady_clock::now();
@@ -397,45 +341,15 @@
     spent_ += std::chrono::steady_clock::now() - before;
   }
 
-  uint32_t percent_of(const detail::run& run) const {
-    constexpr double all = 100;
-    if (run.spec.long_running()) {
-      return clock_.at - run.since >= detail::serving_start ? 100 : 50;
-    }
-    return static_cast<uint32_t>(
-        std::min(all - 1, all * run.done_ms / run.work_ms));
-  }
-
-  void obey(detail::worker& it, const fleet::worker_orders& orders) {
+  void obey(emulated_worker& it, const fleet::worker_orders& orders) {
     if (orders.hold_ms() == 0) return;
-    while (!it.ended.empty() &&
-           it.ended.front().number() <= orders.last_end()) {
-      it.ended.pop_front();
-    }
-    for (const fleet::stop_order& stop : orders.stops()) {
-      const size_t at = find(it, stop.task(), stop.run());
-      if (at >= it.runs.size()) continue;
-      end(it, at, fleet::run_stopped, str_cat(it.runs[at].done_ms));
-    }
-    for (const fleet::pace_order& pace : orders.paces()) {
-      const size_t at = find(it, pace.task(), pace.run());
-      if (at < it.runs.size()) it.runs[at].pace = pace.percent() / 100.0;
-    }
+    it.obey(orders, clock_.at);
     for (const fleet::start_order& start : orders.starts()) begin(it, start);
   }
 
-  static size_t find(const detail::worker& it, const fleet::task_ref& task,
-                     uint32_t number) {
-    const auto found =
-        std::find_if(it.runs.begin(), it.runs.end(), [&](const auto& run) {
-          return to_key(run.task) == to_key(task) && run.number == number;
-        });
-    return static_cast<size_t>(found - it.runs.begin());
-  }
-
-  void begin(detail::worker& it, const fleet::start_order& start) {
-    if (find(it, start.task(), start.run()) < it.runs.size()) return;
-    detail::run run;
+  void begin(emulated_worker& it, const fleet::start_order& start) {
+    if (it.find(start.task(), start.run()) < it.runs.size()) return;
+    emulated_run run;
     run.task = start.task();
     run.number = start.run();
     run.spec = *controller_.book().find_step(to_key(start.task()));
@@ -449,9 +363,9 @@
 
   void look_at_serving() {
     constexpr double by_others = 4;
+    const double n = pattern_.serving_width;
     for (const auto& [job, phase] : phases_) {
       const auto [at_work, missed] = looks_[job];
-      const double n = pattern_.serving_width;
       served_ += std::max(0.0, (at_work - by_others * missed) / n);
       ++looked_;
     }
@@ -459,37 +373,18 @@
     out_.served = looked_ == 0 ? 0 : served_ / static_cast<double>(looked_);
   }
 
-  void look_at_jobs() {
-    std::erase_if(asked_, [&](const auto& p) {
-      const job_entry* job = controller_.book().find(job_number(p.first));
-      if (job == nullptr || job->phase != fleet::job_succeeded) return false;
-      const detail::asked_job& it = p.second;
-      const auto took = static_cast<double>((clock_.at - it.came).count());
-      const auto objective = static_cast<double>(it.objective.count());
-      kind_outcome& kind = out_.kinds[it.queue];
-      if (took <= objective) {
-        ++kind.in_time;
-        kind.earned += it.worth;
-      } else if (took <= detail::late_factor * objective) {
-        ++kind.late;
-        kind.earned += detail::late_worth * it.worth;
-      }
-      return true;
-    });
-  }
-
   const load_pattern& pattern_;
   seeded_random random_;
   detail::virtual_clock clock_;
   detail::instant_log log_;
   metrics_registry metrics_;
   fleet_controller controller_;
-  std::vector<detail::worker> workers_;
+  std::vector<emulated_worker> workers_;
   // By serving and fill image.
   std::vector<std::vector<double>> costs_;
   std::map<uint64_t, double> phases_;
   std::map<std::pair<uint64_t, uint32_t>, double> work_ms_;
-  std::map<uint64_t, detail::asked_job> asked_;
+  job_ledger ledger_;
   // Tasks at work and over their target now, by serving job.
   std::map<uint64_t, std::pair<unsigned, unsigned>> looks_;
   double served_ = 0;
