--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -380,7 +380,9 @@
   return score;
 }
 
+/// Asked for each worker and step: the clock is read only where it matters.
 bool fleet_scheduler::is_cold(const worker_view& it) const {
+  if (it.beat.cold_left_ms() == 0) return false;
   const milliseconds left(static_cast<int64_t>(it.beat.cold_left_ms()));
   return clock_.now() - it.told < left;
 }
--- a/support/emulator/emulator.cc
+++ b/support/emulator/emulator.cc
@@ -16,8 +16,8 @@
 namespace detail {
 
 constexpr milliseconds step_time{20};
-constexpr milliseconds tick_time{100};
-constexpr milliseconds beat_time{200};
+constexpr double step_s = 0.02;
+constexpr milliseconds tick_time{100}, beat_time{200};
 /// Jobs come while serving tasks are settled.
 constexpr milliseconds lead{3'000};
 /// What comes late has so long to end.
@@ -26,8 +26,7 @@
 /// Amounts per processor of a worker with 32, as the users' recorded days show.
 constexpr double harmless = 0.01, harmful = 0.12;
 constexpr double reference_cores = 32;
-constexpr double target_x = 6;
-constexpr double most_load = 0.98;
+constexpr double target_x = 6, most_load = 0.98;
 
 class virtual_clock final : public clock_source {
  public:
@@ -205,8 +204,7 @@
         static_cast<double>((clock_.at - begin).count()) / detail::ms_per_s;
     const bool burst = at >= pattern_.burst_at_s &&
                        at < pattern_.burst_at_s + pattern_.burst_for_s;
-    const double dt =
-        static_cast<double>(detail::step_time.count()) / detail::ms_per_s;
+    const double dt = detail::step_s;
     for (const job_kind& it : pattern_.kinds) {
       if (chance() < it.per_s * (burst ? it.burst : 1) * dt) submit_kind(it);
     }
@@ -286,8 +284,7 @@
   void disturb(emulated_worker& it, bool counts) {
     const double scale = detail::reference_cores /
                          static_cast<double>(pattern_.worker_cpu_milli);
-    const double dt =
-        static_cast<double>(detail::step_time.count()) / detail::ms_per_s;
+    const double dt = detail::step_s;
     for (emulated_run& run : it.runs) {
       if (!run.spec.long_running()) continue;
       double added = 0;
