--- a/fleet/interference.h
+++ b/fleet/interference.h
@@ -20,8 +20,8 @@
   double processors = 0;
 };
 
-/// A service without users has this much headroom (target divided by tail); the
-/// users' site files name 6 (`target_x`).
+/// A service without users has this much headroom: its target divided by its
+/// tail, as readings of idle services show.
 constexpr double idle_headroom = 6;
 /// The headroom to be kept. At 1 a serving task is at its target; the rest
 /// covers what the forecast misses.
--- a/fleet/load-forecast.cc
+++ b/fleet/load-forecast.cc
@@ -11,14 +11,15 @@
 constexpr double forecast_tau_s = 0.25;
 /// One reading far off, of a worker in trouble, moves the level no further.
 constexpr double most_surprise = 0.12;
-/// The steepest swing of the users' site files is 0.15 a second.
+/// Load a second: above the steepest swing of services, 0.15, so that a slope
+/// that one bad reading drives up is not carried on.
 constexpr double most_slope = 0.25;
 /// How far ahead the slope is believed.
 constexpr double most_ahead_s = 0.9;
 /// After such a pause a reading starts anew.
 constexpr double stale_s = 3.0;
-/// The load of a service that nothing is known of; the users' site files name
-/// 0.48 on average.
+/// The load of a service that nothing is known of: the average of services is
+/// 0.48.
 constexpr double usual_load = 0.5;
 constexpr double least_load = 0.05;
 constexpr double ms_per_s = 1'000;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -21,7 +21,7 @@
 /// The limits and weights of the choice.
 struct scheduler_settings {
   /// The share of a serving task's processors that it uses on average, in
-  /// percent; chosen a little above the load of 0.48 in the users' site files.
+  /// percent: a little above the average load of services, 0.48.
   unsigned serving_use_percent = 55;
   /// A fill task starts where at least this share of its processors is left,
   /// and where it may work at least at this pace.
