Sight: an overtaken heartbeat whose clock does not fit its sequence is told; born is read

A call of a worker that started again under its id passes for an overtaken one and left no line, only a counter. No decision uses it yet.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -17,6 +17,8 @@
 /// How long a worker that fails what it starts is avoided at first.
 constexpr milliseconds first_avoidance{2'000};
 constexpr unsigned most_doublings = 3;
+/// A heartbeat may come seconds late, by the users' protocol.
+constexpr milliseconds longest_way{60'000};
 /// What every worker does many times a second is told at `debug` only: with 350
 /// workers that would be three quarters of all lines written, and rarer ones
 /// would be left out for it.
@@ -84,7 +86,7 @@
     return respond(std::move(response));
   }
   if (it == nullptr) {
-    ++metrics_.counter("kestrelreel_heartbeats_overtaken_total");
+    note_overtaken(beat, *workers_.find(worker_id(beat.worker())));
     return respond(make_response(fleet::fleet_ok, "overtaken"));
   }
   ++beats_;
@@ -115,6 +117,27 @@
   scheduler_.pace(it);
 }
 
+/// Calls are overtaken all the time. One whose clock does not fit its sequence
+/// is no such call: a worker of which every call passes for one gets nothing,
+/// and is given up on while it lives.
+void fleet_controller::note_overtaken(const fleet::worker_beat& beat,
+                                      const worker_view& it) {
+  ++metrics_.counter("kestrelreel_heartbeats_overtaken_total");
+  const auto behind =
+      static_cast<int64_t>(it.beat.clock_ms() - beat.clock_ms());
+  const bool fits = behind >= 0 && behind <= detail::longest_way.count();
+  log_event(detail::service_name, detail::level_of(!fits),
+            "heartbeat-overtaken")
+      .with("worker", beat.worker())
+      .with("sequence", beat.sequence())
+      .with("taken", it.beat.sequence())
+      .with("clock-behind-ms", behind)
+      .with("born", beat.born())
+      .with("taken-born", it.beat.born())
+      .with("ends", beat.ended_size())
+      .with("told-ms-ago", (clock_.now() - it.told).count());
+}
+
 /// A life that nobody told of may be new, or over and still on its way here.
 void fleet_controller::note_new_life(const worker_view& it) const {
   if (it.first_told != it.told || it.over_at != time_point{}) return;
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -138,6 +138,7 @@
   void on_beat(const fleet::worker_beat& beat, const respond_function& respond);
   void on_leave(const worker_id& worker, const respond_function& respond);
   bool is_over(const worker_id& worker);
+  void note_overtaken(const fleet::worker_beat& beat, const worker_view& it);
   void note_new_life(const worker_view& it) const;
   bool is_near_end(const worker_view& it) const;
   void take_ends(worker_view& it, bool timely);
