A heartbeat that can't be of its worker changes nothing

Cause: a member that was missing read as 0, empty or ready; where another writer used a worker's id, the intake box took its copy for the worker's last call and told the leader differences to it, and the worker's own waiting call ended.

Of two heartbeats of one life the sequence and the steady clock must agree, and pool and address stay (fleet/beat-order), at the leader and at the intake box. A pool that the configuration doesn't name, or no birth where the worker has told one, is refused with 400. One bounded log line and a counter by cause.

--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -90,6 +90,12 @@
          context_.clock.now() - in_reach_at_ < detail::ready_without;
 }
 
+void entry_gateway_service::note_unreadable(const std::string& what,
+                                            const std::string& member) {
+  ++context_.metrics.counter("kestrelreel_bodies_unreadable_total",
+                             {{"of", what}, {"member", member}});
+}
+
 void entry_gateway_service::ask(const fleet::fleet_request& request,
                                 milliseconds limit, respond_function respond) {
   auto it = std::make_shared<question>(context_.io, request);
--- a/daemon/entry-gateway-service.h
+++ b/daemon/entry-gateway-service.h
@@ -29,6 +29,8 @@
 
   void ask(const fleet::fleet_request& request, milliseconds limit,
            respond_function respond) override;
+  void note_unreadable(const std::string& what,
+                       const std::string& member) override;
   /// The seeds changed.
   void learn_seeds();
   /// True while a leader is in reach, and for a short while after.
--- a/daemon/fleet-record-service.h
+++ b/daemon/fleet-record-service.h
@@ -41,6 +41,8 @@
   /// Asks the leader, wherever it is.
   void ask(const fleet::fleet_request& request, milliseconds limit,
            respond_function respond) override;
+  void note_unreadable(const std::string& what,
+                       const std::string& member) override;
   /// Hands the leadership on, if this box leads.
   void transfer_leadership();
   /// The seeds changed.
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "fleet/beat-order.h"
 #include "fleet/worker-life.h"
 
 namespace kestrelreel {
@@ -25,7 +26,19 @@
 }  // namespace detail
 
 void beat_intake::take(fleet::worker_beat beat, respond_function respond) {
-  caller& it = callers_[life_of(beat).str()];
+  const auto [found, fresh] = callers_.try_emplace(life_of(beat).str());
+  caller& it = found->second;
+  const beat_order order =
+      fresh ? beat_order::later
+            : order_of(it.beat, it.called, beat, clock_.now());
+  // The leader would be told the difference to what the worker never said, and
+  // the call that waits would end for it.
+  if (order != beat_order::later) {
+    const bool misfit = order == beat_order::misfit;
+    return respond(detail::plain_response(
+        misfit ? fleet::fleet_invalid : fleet::fleet_ok,
+        misfit ? "heartbeat of another writer" : "overtaken"));
+  }
   if (it.respond) {
     if (!it.passed_on) --news_;
     std::exchange(it.respond, nullptr)(
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -65,6 +65,9 @@
   ++metrics_.counter("kestrelreel_heartbeats_total");
   const worker_id life = life_of(beat);
   const worker_view* before = workers_.find(life);
+  if (const char* fault = fault_of(beat)) {
+    return refuse_beat(beat, fault, respond);
+  }
   const bool untold = before == nullptr || !before->known;
   const bool over = before != nullptr && before->over;
   if (over || (untold && workers_.stays_over(beat))) {
@@ -74,7 +77,8 @@
         .with("ends", beat.ended_size());
     return respond(make_response(fleet::fleet_ok, "over"));
   }
-  const auto [it, timely, wants_whole] = workers_.heard(beat);
+  const auto [it, timely, wants_whole, misfit] = workers_.heard(beat);
+  if (misfit) return refuse_beat(beat, "misfit", respond);
   if (wants_whole) {
     const bool known = workers_.find(life) != nullptr;
     log_event(detail::service_name, detail::level_of(!known),
@@ -120,6 +124,42 @@
   scheduler_.pace(it);
 }
 
+/// True when the configuration names the worker's pool, or none is there yet.
+bool fleet_controller::names_pool(const fleet::worker_beat& beat) const {
+  const auto& pools = book_.config().pools();
+  return book_.config().version() == 0 ||
+         std::any_of(pools.begin(), pools.end(),
+                     [&](const auto& it) { return it.name() == beat.pool(); });
+}
+
+/// What shows that another writer sent the heartbeat; null where nothing does.
+/// A worker whose pool went out of the configuration runs what it runs.
+const char* fleet_controller::fault_of(const fleet::worker_beat& beat) {
+  const std::vector<worker_view*> lives = workers_.lives_of(beat.worker());
+  const bool told =
+      !lives.empty() && lives.back()->known && born_of(lives.back()->id) > 0;
+  if (told && beat.born() == 0) return "no birth";
+  if (beat.base() != 0 || names_pool(beat)) return nullptr;
+  const worker_view* it = workers_.find(life_of(beat));
+  const bool known = it != nullptr && it->known;
+  return known && it->beat.pool() == beat.pool() ? nullptr : "unknown pool";
+}
+
+void fleet_controller::refuse_beat(const fleet::worker_beat& beat,
+                                   const char* fault,
+                                   const respond_function& respond) {
+  ++metrics_.counter("kestrelreel_heartbeats_unusable_total",
+                     {{"cause", fault}});
+  log_event(detail::service_name, log_level::warn, "heartbeat-unusable")
+      .with("worker", life_of(beat).str())
+      .with("address", beat.address())
+      .with("pool", beat.pool())
+      .with("sequence", beat.sequence())
+      .with("clock-ms", beat.clock_ms())
+      .with("cause", fault);
+  respond(make_response(fleet::fleet_invalid, fault));
+}
+
 /// Calls are overtaken all the time. One whose clock does not fit its sequence
 /// is no such call: a worker of which every call passes for one gets nothing,
 /// and is given up on while it lives.
@@ -128,7 +168,7 @@
   ++metrics_.counter("kestrelreel_heartbeats_overtaken_total");
   const auto behind =
       static_cast<int64_t>(it.beat.clock_ms() - beat.clock_ms());
-  const bool fits = behind >= 0 && behind <= detail::longest_way.count();
+  const bool fits = behind <= detail::longest_way.count();
   log_event(detail::service_name, detail::level_of(!fits),
             "heartbeat-overtaken")
       .with("worker", it.id.str())
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -139,6 +139,10 @@
   void on_beat(const fleet::worker_beat& beat, const respond_function& respond);
   void on_leave(const std::string& name, uint64_t born,
                 const respond_function& respond);
+  bool names_pool(const fleet::worker_beat& beat) const;
+  const char* fault_of(const fleet::worker_beat& beat);
+  void refuse_beat(const fleet::worker_beat& beat, const char* fault,
+                   const respond_function& respond);
   std::optional<worker_id> leaver_of(const std::string& name, uint64_t born);
   bool is_over(const worker_id& worker);
   void note_overtaken(const fleet::worker_beat& beat, const worker_view& it);
--- a/fleet/fleet-test-world.h
+++ b/fleet/fleet-test-world.h
@@ -92,6 +92,7 @@
     fleet::fleet_config config;
     config.set_version(version);
     config.add_pools()->set_name("pool");
+    config.add_pools()->set_name("elsewhere");
     fleet::queue_route& queue = *config.add_queues();
     queue.set_name("plans");
     queue.set_host("plans.example");
--- a/fleet/gateway.h
+++ b/fleet/gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 
 #include "base/clock.h"
 #include "proto/fleet.pb.h"
@@ -17,6 +18,9 @@
   /// Answers exactly once, within about `limit`.
   virtual void ask(const fleet::fleet_request& request, milliseconds limit,
                    respond_function respond) = 0;
+  /// A body that can't be read was refused: of what, and the member at fault.
+  virtual void note_unreadable(const std::string& /*what*/,
+                               const std::string& /*member*/) {}
 };
 
 }  // namespace kestrelreel
--- a/fleet/worker-leave-test.cc
+++ b/fleet/worker-leave-test.cc
@@ -165,6 +165,8 @@
   world.end("a", task, 1, fleet::run_done);
   // Another box was told nothing of the worker before.
   if (!kind.difference) world.forget_told();
+  // A late call was sent after the last one that came: its clock shows so.
+  world.pass(kind.age);
   world.call(kind.age);
   for (const char event : order) play(world, event);
   world.go_on();
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/text.h"
+#include "fleet/beat-order.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -182,7 +183,12 @@
   const bool differs = beat.base() != 0;
   const auto found = views_.find(id);
   const bool known = found != views_.end() && found->second.known;
-  if (known && beat.sequence() <= found->second.beat.sequence()) return {};
+  if (known) {
+    const worker_view& view = found->second;
+    const beat_order order = order_of(view.beat, view.told, beat, clock_.now());
+    if (order == beat_order::overtaken) return {};
+    if (order == beat_order::misfit) return {nullptr, false, false, true};
+  }
   if (differs && (!known || found->second.beat.sequence() != beat.base())) {
     return {nullptr, false, true};
   }
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -164,6 +164,8 @@
     /// It tells the difference to one that was not the last taken in here, so
     /// that nothing of it was.
     bool wants_whole = false;
+    /// It can't be of the worker that it names: nothing of it was taken in.
+    bool misfit = false;
   };
   arrival heard(const fleet::worker_beat& beat);
   void erase(const worker_id& id) { views_.erase(id); }
