A record that can't be read or isn't known ends the process and is told

Change: a saved state is taken whole or not at all; a replica that meets a state or an entry that it can't use says so, with what to do, and ends (exit code 65).

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -28,6 +28,8 @@
 constexpr milliseconds greeting_interval{250};
 /// EX_IOERR of sysexits.h: the disk failed.
 constexpr int fleet_disk_failure_exit = 74;
+/// Of sysexits.h: data that can't be used.
+constexpr int record_unreadable_exit = 65;
 /// A small box's memory holds the state and the log since the last snapshot.
 constexpr size_t fleet_compaction_bytes = 12 << 20;
 constexpr uint64_t fleet_compaction_entries = 20'000;
@@ -167,16 +169,33 @@
 }
 
 void fleet_record_service::install(const proto::log_snapshot& snapshot) {
-  controller_.installed(snapshot.data());
+  const absl::Status status = controller_.installed(snapshot.data());
+  if (!status.ok()) {
+    end_unreadable(snapshot.index(), std::string(status.message()));
+  }
+}
+
+/// What a majority acknowledged is not left out: a state without it would be
+/// another one than theirs.
+void fleet_record_service::end_unreadable(uint64_t index,
+                                          std::string_view error) {
+  log_event(detail::service_name, log_level::error, "record-unreadable")
+      .with("index", index)
+      .with("error", error)
+      .with("effect",
+            "the process ends: use the program's newest version, or "
+            "move the data folder away for a repair by the others");
+  std::_Exit(detail::record_unreadable_exit);
 }
 
 void fleet_record_service::apply(const proto::log_entry& entry) {
   if (entry.kind() != proto::entry_command) return;
   fleet::fleet_command command;
   if (!command.ParseFromString(entry.payload())) {
-    log_event(detail::service_name, log_level::error, "entry-unreadable")
-        .with("index", entry.index());
-    return;
+    end_unreadable(entry.index(), "the entry can't be read");
+  }
+  if (!is_known(command)) {
+    end_unreadable(entry.index(), "the entry is of a kind not known here");
   }
   controller_.applied(command);
   settle_soon();
--- a/daemon/fleet-record-service.h
+++ b/daemon/fleet-record-service.h
@@ -57,6 +57,8 @@
   void install(const proto::log_snapshot& snapshot) override;
   void apply(const proto::log_entry& entry) override;
   std::string save_state() override;
+  [[noreturn]] static void end_unreadable(uint64_t index,
+                                          std::string_view error);
   void disk_full(const absl::Status& status) override;
   void disk_failed(const absl::Status& status) override;
 
--- a/fleet/controller-test.cc
+++ b/fleet/controller-test.cc
@@ -144,7 +144,7 @@
   test_world next;
   next.controller.leads(false);
   next.log.leader_term = 2;
-  next.controller.installed(state);
+  CHECK_TRUE(next.controller.installed(state).ok());
   next.controller.leads(true);
   next.beat("b");
   next.pass(milliseconds(3'500));
@@ -160,7 +160,7 @@
   run_one();
   test_world next;
   next.controller.leads(false);
-  next.controller.installed(world.controller.book().save());
+  CHECK_TRUE(next.controller.installed(world.controller.book().save()).ok());
   next.controller.leads(true);
   next.workers["a"] = world.workers["a"];
   LONGS_EQUAL(0, next.beat("a").starts_size());
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -326,10 +326,12 @@
   if (respond) respond(make_response(fleet::fleet_ok, "forgotten"));
 }
 
-void fleet_controller::installed(const std::string& bytes) {
-  book_.load(bytes);
+absl::Status fleet_controller::installed(const std::string& bytes) {
+  const absl::Status status = book_.load(bytes);
+  if (!status.ok()) return status;
   for (auto& [id, it] : workers_.views()) it.load_is_old = true;
   unsettled_ = true;
+  return status;
 }
 
 void fleet_controller::leads(bool now) {
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -90,7 +90,7 @@
   /// A committed command, in order; on every replica.
   void applied(const fleet::fleet_command& command);
   /// The state of a snapshot replaces all; on every replica.
-  void installed(const std::string& bytes);
+  absl::Status installed(const std::string& bytes);
   /// Leadership came or went.
   void leads(bool now);
   /// Decides what the events since the last call allow.
--- a/fleet/evacuation-test-world.h
+++ b/fleet/evacuation-test-world.h
@@ -77,7 +77,7 @@
   void install_elsewhere() {
     const std::string bytes = controller.book().save();
     elect();
-    controller.installed(bytes);
+    CHECK_TRUE(controller.installed(bytes).ok());
   }
   const evacuations& evacuated() const { return controller.book().evacuated(); }
 };
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -2,7 +2,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
 #include "fleet/job-book.h"
+#include "fleet/queue-map.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -25,6 +27,22 @@
   }
 }
 
+absl::Status corrupt(job_number job, const char* what) {
+  return absl::DataLossError(
+      str_cat("the saved state of job ", to_text(job), " names ", what));
+}
+
+void load_task(const fleet::saved_task& from, step_entry& step) {
+  task_entry& task = step.tasks[from.index()];
+  task.phase = static_cast<task_phase>(from.phase());
+  task.run = run_number(from.run());
+  task.failures = from.failures();
+  task.worker = worker_id(from.worker());
+  task.saved = from.saved();
+  if (task.phase == task_phase::done) ++step.done;
+  if (task.phase == task_phase::running) ++step.running;
+}
+
 }  // namespace detail
 
 fleet::saved_job job_book::save_job(const job_entry& job) const {
@@ -82,7 +100,11 @@
   return out.SerializeAsString();
 }
 
-void job_book::load_job(const fleet::saved_job& it) {
+absl::Status job_book::load_job(const fleet::saved_job& it) {
+  // A job that is over keeps no steps' tasks, and its text is gone.
+  const job_number saved_as(it.spec().job());
+  const bool sound = check_job(it.spec()).ok();
+  if (!sound) return detail::corrupt(saved_as, "steps that none may have");
   job_entry job;
   job.spec = it.spec();
   job.queue = it.queue();
@@ -93,27 +115,29 @@
   put_job(std::move(job));
   job_entry& placed = jobs_.at(number);
   for (const fleet::saved_step& saved : it.steps()) {
-    step_entry& step = placed.times.at(saved.time()).at(saved.step());
+    if (saved.time() >= placed.times.size() ||
+        saved.step() >= placed.times[saved.time()].size()) {
+      return detail::corrupt(number, "a step that it does not have");
+    }
+    step_entry& step = placed.times[saved.time()][saved.step()];
     step.gang_failures = saved.gang_failures();
     for (const fleet::saved_task& from : saved.tasks()) {
-      task_entry& task = step.tasks.at(from.index());
-      task.phase = static_cast<task_phase>(from.phase());
-      task.run = run_number(from.run());
-      task.failures = from.failures();
-      task.worker = worker_id(from.worker());
-      task.saved = from.saved();
-      if (task.phase == task_phase::done) ++step.done;
-      if (task.phase == task_phase::running) ++step.running;
+      if (from.index() >= step.tasks.size() ||
+          from.phase() > static_cast<uint32_t>(task_phase::done)) {
+        return detail::corrupt(number, "a task that it does not have");
+      }
+      detail::load_task(from, step);
     }
   }
+  return absl::OkStatus();
 }
 
-void job_book::load(const std::string& bytes) {
-  fleet::fleet_snapshot in;
-  in.ParseFromString(bytes);
-  *this = job_book();
+absl::Status job_book::load_whole(const fleet::fleet_snapshot& in) {
   if (in.has_config()) put_config(in.config());
-  for (const fleet::saved_job& it : in.jobs()) load_job(it);
+  for (const fleet::saved_job& it : in.jobs()) {
+    const absl::Status status = load_job(it);
+    if (!status.ok()) return status;
+  }
   for (const fleet::saved_worker& it : in.workers()) {
     const worker_id worker(it.worker());
     if (it.left()) left_.insert(worker);
@@ -125,6 +149,18 @@
   }
   evacuations_.load(in);
   next_order_ = in.next_order();
+  return absl::OkStatus();
+}
+
+absl::Status job_book::load(const std::string& bytes) {
+  fleet::fleet_snapshot in;
+  if (!in.ParseFromString(bytes)) {
+    return absl::DataLossError("the saved state can't be read");
+  }
+  job_book loaded;
+  const absl::Status status = loaded.load_whole(in);
+  if (status.ok()) *this = std::move(loaded);
+  return status;
 }
 
 }  // namespace kestrelreel
--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -138,7 +138,7 @@
   cancel.mutable_cancel()->add_jobs(9);
   book.apply(cancel);
   job_book other;
-  other.load(book.save());
+  CHECK_TRUE(other.load(book.save()).ok());
   CHECK_TRUE(book.save() == other.save());
   LONGS_EQUAL(1, other.last_end(worker_id("a")));
   LONGS_EQUAL(1, other.runs_on(worker_id("b")).size());
@@ -158,7 +158,7 @@
   leave.mutable_leave()->set_worker("without-ends");
   book.apply(leave);
   job_book other;
-  other.load(book.save());
+  CHECK_TRUE(other.load(book.save()).ok());
   CHECK_TRUE(book.save() == other.save());
   LONGS_EQUAL(2, other.left().size());
   LONGS_EQUAL(1, other.runs_on(worker_id("a")).size());
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -58,6 +58,14 @@
   return true;
 }
 
+bool is_known(const fleet::fleet_command& command) {
+  if (!command.has_batch()) {
+    return command.body_case() != fleet::fleet_command::BODY_NOT_SET;
+  }
+  const auto& all = command.batch().commands();
+  return std::all_of(all.begin(), all.end(), is_known);
+}
+
 job_book::result job_book::apply(const fleet::fleet_command& command) {
   switch (command.body_case()) {
     case fleet::fleet_command::kConfig:
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "fleet/evacuations.h"
 #include "fleet/task-key.h"
 #include "proto/fleet.pb.h"
@@ -75,7 +76,9 @@
   result apply(const fleet::fleet_command& command);
   /// The whole state, for `load` elsewhere.
   std::string save() const;
-  void load(const std::string& bytes);
+  /// Takes the place of all. Bytes that are no whole state, or name what the
+  /// state does not hold, change nothing: part of a state is none.
+  absl::Status load(const std::string& bytes);
 
   const fleet::fleet_config& config() const { return config_; }
   const std::unordered_map<job_number, job_entry>& jobs() const {
@@ -106,6 +109,7 @@
   bool step_is_due(const job_entry& job, uint32_t time, uint32_t step) const;
 
  private:
+  absl::Status load_whole(const fleet::fleet_snapshot& in);
   result apply_all(const fleet::command_batch& batch);
   result put_config(const fleet::fleet_config& config);
   result submit(const fleet::fleet_job_spec& spec);
@@ -129,7 +133,7 @@
   void put_job(job_entry job);
   task_entry* find_task(const task_key& key);
   fleet::saved_job save_job(const job_entry& job) const;
-  void load_job(const fleet::saved_job& it);
+  absl::Status load_job(const fleet::saved_job& it);
 
   fleet::fleet_config config_;
   std::map<std::string, size_t> queues_;
@@ -142,4 +146,8 @@
   uint64_t next_order_ = 1;
 };
 
+/// True when this program knows what the command, or each one of a batch, asks
+/// for: one of a later version can't be left out, as the next ones build on it.
+bool is_known(const fleet::fleet_command& command);
+
 }  // namespace kestrelreel
--- a/fleet/worker-leave-test.cc
+++ b/fleet/worker-leave-test.cc
@@ -279,7 +279,7 @@
   world.end("a", task, 1, fleet::run_done);
   const std::string saved = world.controller.book().save();
   world.controller.leads(false);
-  world.controller.installed(saved);
+  CHECK_TRUE(world.controller.installed(saved).ok());
   ++world.log.leader_term;
   world.controller.leads(true);
   world.pass(milliseconds(500));
--- a/net/frame-stream.cc
+++ b/net/frame-stream.cc
@@ -56,23 +56,34 @@
       });
 }
 
-/// Hands on all whole frames; false on bytes that are none.
-bool frame_stream::take_frames() {
+std::optional<size_t> read_frames(
+    std::string_view in,
+    const std::function<bool(const fleet::fleet_frame&)>& on_frame) {
   size_t at = 0;
-  // Closing drops the handler, which may be what closes.
-  const frame_handler on_frame = on_frame_;
-  while (open_ && in_.size() - at >= detail::prefix_bytes) {
+  while (in.size() - at >= detail::prefix_bytes) {
     uint32_t n = 0;
-    std::memcpy(&n, in_.data() + at, sizeof(n));
-    if (n > most_frame_bytes) return false;
-    if (in_.size() - at - detail::prefix_bytes < n) break;
+    std::memcpy(&n, in.data() + at, sizeof(n));
+    if (n > most_frame_bytes) return std::nullopt;
+    if (in.size() - at - detail::prefix_bytes < n) break;
     fleet::fleet_frame frame;
-    const char* body = in_.data() + at + detail::prefix_bytes;
-    if (!frame.ParseFromArray(body, static_cast<int>(n))) return false;
+    const char* body = in.data() + at + detail::prefix_bytes;
+    if (!frame.ParseFromArray(body, static_cast<int>(n))) return std::nullopt;
     at += detail::prefix_bytes + n;
-    on_frame(frame);
+    if (!on_frame(frame)) break;
   }
-  in_.erase(0, at);
+  return at;
+}
+
+/// False on bytes that are no frame.
+bool frame_stream::take_frames() {
+  // Closing drops the handler, which may be what closes.
+  const frame_handler on_frame = on_frame_;
+  const auto taken = read_frames(in_, [&](const fleet::fleet_frame& frame) {
+    on_frame(frame);
+    return open_;
+  });
+  if (!taken) return false;
+  in_.erase(0, *taken);
   return true;
 }
 
--- a/net/frame-stream.h
+++ b/net/frame-stream.h
@@ -5,7 +5,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "proto/fleet.pb.h"
@@ -17,6 +19,13 @@
 /// Bytes that may wait for a slow peer before the connection is given up.
 constexpr size_t most_queued_bytes = 80 << 20;
 
+/// Hands on all whole frames that `in` begins with, for as long as `on_frame`
+/// says so, and tells how many bytes they took; none on bytes that are no
+/// frame. A frame is its length, of four bytes, and its message.
+std::optional<size_t> read_frames(
+    std::string_view in,
+    const std::function<bool(const fleet::fleet_frame&)>& on_frame);
+
 /// One connection. It lives as long as a read or write is under way, or its
 /// owner holds it.
 class frame_stream : public std::enable_shared_from_this<frame_stream> {
