--- a/fleet/slow-restart-test.cc
+++ b/fleet/slow-restart-test.cc
@@ -27,6 +27,13 @@
       {"and workers leave", 0, 0, 0, 0, 0, 50, false, 60},
       {"and clocks are set back", 0, 0, 0, 0, 0, 0, false, 60, 2},
       {"all of it", 300, 300, 200, 3, 150, 100, false, 100, 4},
+      {"through other boxes", 0, 0, 0, 0, 0, 0, false, 60, 0, true},
+      {"through other boxes, leaders change", 0, 100, 0, 0, 0, 0, false, 60, 0,
+       true},
+      {"through other boxes, workers are cut off", 0, 0, 0, 0, 60, 0, false, 60,
+       0, true},
+      {"through other boxes, all of it", 300, 300, 200, 3, 150, 100, false, 100,
+       4, true},
   };
   for (const faults& it : rows) {
     int done = 0;
--- a/fleet/slow-test-parts.h
+++ b/fleet/slow-test-parts.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/beat-intake.h"
 #include "fleet/fleet-test-world.h"
 
 namespace kestrelreel::slow {
@@ -56,6 +57,8 @@
   unsigned again = 0;
   // One in so many of these tells a birth from a clock that was set back.
   unsigned set_back = 0;
+  // Workers call any box, which passes on what differs to the leader.
+  bool intakes = false;
 };
 
 class slow_world;
@@ -86,9 +89,26 @@
   std::string worker;
 };
 
+/// What a box took in for the leader, on its way there.
+struct passed_batch {
+  time_point arrives;
+  int from;
+  fleet::beat_batch batch;
+};
+
+/// The leader's answer, on its way to the box that took the call in.
+struct passed_answer {
+  time_point arrives;
+  fleet::beat_answer answer;
+};
+
 struct box {
   std::unique_ptr<box_log> log;
   std::unique_ptr<fleet_controller> controller;
+  std::unique_ptr<beat_intake> intake;
+  int told_leader = -1;
+  std::vector<passed_batch> batches;
+  std::vector<passed_answer> replies;
   std::vector<heartbeat> inbox;
   std::vector<departure> departures;
   time_point stalled_until{};
@@ -128,6 +148,42 @@
   std::optional<time_point> leaves_at;
 };
 
+/// What the machine tells of itself.
+inline fleet::worker_beat make_beat(const machine& it, time_point now) {
+  fleet::worker_beat beat;
+  beat.set_worker(it.name);
+  beat.set_born(it.born_ms);
+  beat.set_pool("pool");
+  beat.set_address(it.address);
+  beat.set_sequence(it.sequence);
+  beat.set_clock_ms(static_cast<uint64_t>((now - it.born).count()) + 1);
+  beat.set_draining(it.leaves_at.has_value());
+  if (it.leaves_at) {
+    const milliseconds left = *it.leaves_at - now;
+    beat.set_remaining_ms(static_cast<uint64_t>(left.count()));
+  }
+  beat.set_cpu_milli(worker_room * 1'000);
+  beat.set_memory_mb(10'000);
+  for (const auto& [run, ends] : it.runs) {
+    fleet::running_row& row = *beat.add_running();
+    *row.mutable_task() = to_ref(run.task);
+    row.set_run(static_cast<uint32_t>(run.run.value()));
+  }
+  for (const fleet::run_end& end : it.ended) *beat.add_ended() = end;
+  return beat;
+}
+
+/// The leader's answers that have come.
+inline void read_replies(box& it, time_point now) {
+  std::erase_if(it.replies, [&](const passed_answer& reply) {
+    if (reply.arrives > now) return false;
+    fleet::beat_answers one;
+    *one.add_answers() = reply.answer;
+    it.intake->answered(one);
+    return true;
+  });
+}
+
 struct answer {
   time_point arrives;
   std::string worker;
@@ -153,4 +209,52 @@
   bool owed = false;
 };
 
+/// The good ends of all runs, and what became of them.
+class end_ledger {
+ public:
+  void add(const task_key& task, const good_end& end) {
+    ends_[task].push_back(end);
+  }
+  /// An end that was not taken note of while the lease held is owed nothing.
+  void lapse(const std::string& worker) {
+    for (auto& [task, ends] : ends_) {
+      for (good_end& end : ends) {
+        if (end.worker == worker && !end.noted) end.lapsed = true;
+      }
+    }
+  }
+  /// All that the worker listed is owed to be counted.
+  void owe(const std::string& worker) {
+    for (auto& [task, ends] : ends_) {
+      for (good_end& end : ends) end.owed |= end.worker == worker;
+    }
+  }
+  /// The ends up to that number are taken note of; what is wrong with that.
+  std::string note(const std::string& worker, uint64_t last) {
+    std::string wrong;
+    for (auto& [task, ends] : ends_) {
+      for (good_end& end : ends) {
+        if (end.worker != worker || end.number > last || end.noted) continue;
+        end.noted = true;
+        if (!end.started_after || end.lapsed) continue;
+        wrong = to_text(task) + " ended well, was started again, then noted";
+      }
+    }
+    return wrong;
+  }
+  /// The task starts once more; what is wrong with that.
+  std::string start(const task_key& task) {
+    std::string wrong;
+    for (good_end& end : ends_[task]) {
+      if (end.noted && !end.lapsed) wrong = to_text(task) + " was done";
+      if (end.owed && !end.lapsed) wrong = to_text(task) + " had ended well";
+      end.started_after = true;
+    }
+    return wrong;
+  }
+
+ private:
+  std::map<task_key, std::vector<good_end>> ends_;
+};
+
 }  // namespace kestrelreel::slow
--- a/fleet/slow-test-world.h
+++ b/fleet/slow-test-world.h
@@ -20,6 +20,7 @@
       it.log = std::make_unique<box_log>(*this, i);
       it.controller = std::make_unique<fleet_controller>(
           test_world::make_settings(), clock_, *it.log, metrics_);
+      it.intake = std::make_unique<beat_intake>(intake_settings(), clock_);
     }
     for (int i = 0; i < places; ++i) {
       machine& it = machines_.emplace_back();
@@ -51,7 +52,7 @@
 
  private:
   void fail(const std::string& what) {
-    if (wrong_.empty()) {
+    if (wrong_.empty() && !what.empty()) {
       wrong_ = what + " at " + std::to_string(clock_.now().count());
     }
   }
@@ -93,7 +94,7 @@
     for (machine& it : machines_) live(it);
     for (const auto& [worker, lease] : left_) {
       if (lease <= clock_.now() && clock_.now() < lease + step_time) {
-        lapse_ends(worker);
+        ends_.lapse(worker);
       }
     }
     deliver();
@@ -158,6 +159,7 @@
     if (chance_.one_in(2)) it.controller->tick();
     read_departures(it);
     read(it);
+    if (faults_.intakes) pass_on(b);
     if (ticks_++ % 5 == 0) it.controller->tick();
     it.controller->settle();
   }
@@ -186,19 +188,46 @@
         continue;
       }
       --most;
+      const auto respond = [this, life = h.life,
+                            n = h.beat.sequence()](fleet::fleet_response r) {
+        if (left_.contains(life)) note_ends(life, r.orders().last_end());
+        answers_.push_back({clock_.now() + delay(), life, n, r.orders()});
+      };
+      if (faults_.intakes && !it.controller->leading()) {
+        it.intake->take(h.beat, respond);
+        continue;
+      }
       fleet::fleet_request request;
       *request.mutable_beat() = h.beat;
-      it.controller->request(
-          request, [this, life = h.life,
-                    sequence = h.beat.sequence()](fleet::fleet_response r) {
-            if (left_.contains(life)) note_ends(life, r.orders().last_end());
-            answers_.push_back(
-                {clock_.now() + delay(), life, sequence, r.orders()});
-          });
+      it.controller->request(request, respond);
     }
     it.inbox = std::move(rest);
   }
 
+  /// What other boxes took in, the leader's answers, and what was taken in
+  /// here.
+  void pass_on(int b) {
+    box& it = boxes_[b];
+    std::erase_if(it.batches, [&](const passed_batch& passed) {
+      if (passed.arrives > clock_.now()) return false;
+      it.controller->take_beats(
+          passed.batch, [this, from = passed.from](fleet::beat_answer answer) {
+            boxes_[from].replies.push_back(
+                {clock_.now() + delay(), std::move(answer)});
+          });
+      return true;
+    });
+    read_replies(it, clock_.now());
+    if (std::exchange(it.told_leader, leader_) != leader_) {
+      it.intake->leader_changed();
+    }
+    it.intake->expire();
+    if (leader_ < 0 || !it.intake->has_news()) return;
+    boxes_[leader_].batches.push_back(
+        {clock_.now() + (leader_ == b ? milliseconds(0) : delay()), b,
+         it.intake->collect(std::to_string(leader_))});
+  }
+
   void submit() {
     if (leader_ < 0 || !chance_.one_in(15)) return;
     fleet::step_spec step =
@@ -218,8 +247,9 @@
     end.set_outcome(outcome);
     if (outcome != fleet::run_done) return;
     ++done_;
-    good_[run.task].push_back({it.id, end.number(), clock_.now()});
-    good_[run.task].back().owed = faults_.steady;
+    good_end good{it.id, end.number(), clock_.now()};
+    good.owed = faults_.steady;
+    ends_.add(run.task, good);
   }
 
   void live(machine& it) {
@@ -239,15 +269,6 @@
     if (it.out == 0 && now >= it.next_call) call(it);
   }
 
-  /// An end that was not taken note of while the lease held is owed nothing.
-  void lapse_ends(const std::string& worker) {
-    for (auto& [task, ends] : good_) {
-      for (good_end& end : ends) {
-        if (end.worker == worker && !end.noted) end.lapsed = true;
-      }
-    }
-  }
-
   /// What runs there dies. Its last heartbeat may still be on its way; the
   /// next life of the machine begins later.
   void leave(machine& it) {
@@ -261,34 +282,15 @@
   void lapse(machine& it) {
     const auto runs = it.runs;
     for (const auto& [run, ends] : runs) end_run(it, run, fleet::run_lapsed);
-    lapse_ends(it.id);
+    ends_.lapse(it.id);
   }
 
   void call(machine& it) {
     it.out = ++it.sequence;
     it.sent = clock_.now();
-    fleet::worker_beat beat;
-    beat.set_worker(it.name);
-    beat.set_born(it.born_ms);
-    beat.set_pool("pool");
-    beat.set_address(it.address);
-    beat.set_sequence(it.sequence);
-    beat.set_clock_ms(static_cast<uint64_t>((clock_.now() - it.born).count()) +
-                      1);
-    beat.set_draining(it.leaves_at.has_value());
-    if (it.leaves_at) {
-      const milliseconds left = *it.leaves_at - clock_.now();
-      beat.set_remaining_ms(static_cast<uint64_t>(left.count()));
-    }
-    beat.set_cpu_milli(worker_room * 1'000);
-    beat.set_memory_mb(10'000);
-    for (const auto& [run, ends] : it.runs) {
-      fleet::running_row& row = *beat.add_running();
-      *row.mutable_task() = to_ref(run.task);
-      row.set_run(static_cast<uint32_t>(run.run.value()));
-    }
-    for (const fleet::run_end& end : it.ended) *beat.add_ended() = end;
-    const bool astray = leader_ < 0 || (!faults_.steady && chance_.one_in(30));
+    const fleet::worker_beat beat = make_beat(it, clock_.now());
+    const bool astray = leader_ < 0 || faults_.intakes ||
+                        (!faults_.steady && chance_.one_in(30));
     const int b = astray ? static_cast<int>(chance_.draw(boxes)) : leader_;
     time_point arrives = clock_.now() + delay();
     if (clock_.now() < it.cut_until) {
@@ -305,10 +307,7 @@
     const bool calm = faults_.stall + faults_.election + faults_.crash +
                           faults_.slow_reading + faults_.cut ==
                       0;
-    if (!calm || arrives - clock_.now() > quick) return;
-    for (auto& [task, ends] : good_) {
-      for (good_end& end : ends) end.owed |= end.worker == it.id;
-    }
+    if (calm && arrives - clock_.now() <= quick) ends_.owe(it.id);
   }
 
   void deliver() {
@@ -350,15 +349,7 @@
       std::erase_if(it.ended,
                     [&](const auto& e) { return e.number() <= last; });
     }
-    for (auto& [task, ends] : good_) {
-      for (good_end& end : ends) {
-        if (end.worker != worker || end.number > last || end.noted) continue;
-        end.noted = true;
-        if (end.started_after && !end.lapsed) {
-          fail(to_text(task) + " ended well, was started again, then noted");
-        }
-      }
-    }
+    fail(ends_.note(worker, last));
   }
 
   void begin(machine& it, const fleet::start_order& start) {
@@ -370,11 +361,7 @@
         if (live.task == run.task) fail(to_text(run.task) + " runs twice");
       }
     }
-    for (good_end& end : good_[run.task]) {
-      if (end.noted && !end.lapsed) fail(to_text(run.task) + " was done");
-      if (end.owed && !end.lapsed) fail(to_text(run.task) + " had ended well");
-      end.started_after = true;
-    }
+    fail(ends_.start(run.task));
     if (it.runs.size() >= worker_room) fail(it.id + " is over its room");
     it.runs[run] =
         clock_.now() + milliseconds(100) + chance_.up_to(milliseconds(3'000));
@@ -389,7 +376,7 @@
   std::vector<answer> answers_;
   std::deque<proposal> proposed_;
   std::vector<fleet::fleet_command> committed_;
-  std::map<task_key, std::vector<good_end>> good_;
+  end_ledger ends_;
   // Workers that left, and until when the lease of each would have held.
   std::map<std::string, time_point> left_;
   int leader_ = -1;
--- a/support/cmake/packages.cmake
+++ b/support/cmake/packages.cmake
@@ -11,6 +11,12 @@
   list(APPEND KESTRELREEL_WARNINGS -Wno-maybe-uninitialized)
 endif()
 
+if(KESTRELREEL_FUZZ)
+  # The warnings are gcc's; what it builds is judged by the other presets.
+  set(KESTRELREEL_WARNINGS "")
+  add_compile_options(-fsanitize=fuzzer-no-link)
+endif()
+
 # kestrelreel_package(NAME SOURCES a.cc b.cc LIBRARIES base ...)
 # Other packages are named plainly, libraries by their target.
 function(kestrelreel_package name)
