--- a/fleet/restarted-worker-test.cc
+++ b/fleet/restarted-worker-test.cc
@@ -181,6 +181,29 @@
   }
 }
 
+// Until the earlier life is known to be over, its room is none: what is placed
+// there would wait for the lease of a life that is gone.
+TEST(restarted_worker, earlier_life_gets_no_new_work) {
+  for (const row& it : rows) {
+    boxes all;
+    life first(all, it.calls_by, first_born, 500'000);
+    live_once(all, first);
+    if (it.leader_changes) {
+      all.elect(1);
+      first.call();
+    }
+    all.pass(cancelled::call_pause);
+    life second(all, it.calls_by, second_born, it.clock_ms);
+    second.call();
+    submit(all, 4, 6);
+    second.call_for(milliseconds(400));
+    LONGS_EQUAL_TEXT(4, second.runs_of(4), it.name);
+    for (const run_key& run : all.book().runs_on(life_of(id, first_born))) {
+      CHECK_TRUE_TEXT(run.task.job.value() != 4, it.name);
+    }
+  }
+}
+
 TEST(restarted_worker, its_first_ends_count_and_none_is_told_before) {
   for (const row& it : rows) {
     boxes all;
