--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -40,7 +40,8 @@
   --version          Show the version.
 
 Exit codes: 0 planned stop or sound settings, 2 wrong usage, 3 faulty settings,
-4 could not start, 74 the disk failed, 130 ended by a second signal.
+4 could not start, 65 a record that can't be used, 74 the disk failed, 130 ended
+by a second signal.
 )";
 
 constexpr const char* version = "kestrelreeld 0.1.0";
