A leave that comes again after its life is over leaves nothing; misfits are told at the intake box

Cause, by reading the diff: a leave without a birth, for a name of which only lives with births are known to be over, was recorded for a worker of that bare name. leave_that_comes_again_after_the_end_leaves_nothing failed before (one view left behind). Where workers tell no birth nothing changes: there no name has an earlier life. A heartbeat that the intake box refuses is logged there as at the leader.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -4,6 +4,7 @@
 
 #include "fleet/beat-order.h"
 #include "fleet/worker-life.h"
+#include "kernel/log.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -35,6 +36,15 @@
   // the call that waits would end for it.
   if (order != beat_order::later) {
     const bool misfit = order == beat_order::misfit;
+    if (misfit) {
+      log_event("intake", log_level::warn, "heartbeat-unusable")
+          .with("worker", life_of(beat).str())
+          .with("address", beat.address())
+          .with("pool", beat.pool())
+          .with("sequence", beat.sequence())
+          .with("clock-ms", beat.clock_ms())
+          .with("cause", "misfit");
+    }
     return respond(detail::plain_response(
         misfit ? fleet::fleet_invalid : fleet::fleet_ok,
         misfit ? "heartbeat of another writer" : "overtaken"));
--- a/fleet/controller-lives.cc
+++ b/fleet/controller-lives.cc
@@ -77,14 +77,16 @@
 /// None where no life that is not over is meant.
 std::optional<worker_id> fleet_controller::leaver_of(const std::string& name,
                                                      uint64_t born) {
+  if (born > 0) return life_of(name, born);
   const std::vector<worker_view*> lives = workers_.lives_of(name);
-  if (born > 0 || lives.empty()) return life_of(name, born);
+  const bool earlier = workers_.has_earlier_life(name);
+  if (lives.empty() && !earlier) return worker_id(name);
   const auto drains = [](const worker_view* it) {
     return it->beat.draining() || it->left_at.has_value();
   };
   const auto last = std::find_if(lives.rbegin(), lives.rend(), drains);
   if (last != lives.rend()) return (*last)->id;
-  if (workers_.has_earlier_life(name)) return std::nullopt;
+  if (earlier) return std::nullopt;
   return lives.back()->id;
 }
 
--- a/fleet/restarted-worker-test.cc
+++ b/fleet/restarted-worker-test.cc
@@ -369,6 +369,25 @@
   CHECK_TRUE(all.book().left().contains(life_of(id, second_born)));
 }
 
+// Its acknowledgement was lost, so that it comes once more when the life is
+// over: it must not be recorded as the leave of a worker without a birth.
+TEST(restarted_worker, leave_that_comes_again_after_the_end_leaves_nothing) {
+  boxes all;
+  life first(all, road::direct, first_born, 500'000);
+  live_once(all, first);
+  first.beat().set_draining(true);
+  first.beat().set_remaining_ms(300);
+  first.call();
+  fleet::fleet_request leave;
+  leave.set_worker_leaves(id);
+  all.ask(leave);
+  all.pass(milliseconds(3'000));
+  LONGS_EQUAL(0, all.leader().workers().views().size());
+  LONGS_EQUAL(fleet::fleet_ok, all.ask(leave).status());
+  LONGS_EQUAL(0, all.leader().workers().views().size());
+  LONGS_EQUAL(0, all.book().left().size());
+}
+
 TEST(restarted_worker, many_times_in_series) {
   for (const row& it : rows) {
     boxes all;
