--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -75,13 +75,15 @@
   std::sort(numbers.begin(), numbers.end());
   for (const job_number it : numbers) *out.add_jobs() = save_job(jobs_.at(it));
   for (const auto& [worker, n] : last_ends_) {
+    // Below, among those that left: equal states are equal bytes.
+    if (n == 0 && left_.contains(worker)) continue;
     fleet::saved_worker& it = *out.add_workers();
     it.set_worker(worker.str());
     it.set_last_end(n);
     it.set_left(left_.contains(worker));
   }
   for (const worker_id& worker : left_) {
-    if (last_ends_.contains(worker)) continue;
+    if (last_end(worker) > 0) continue;
     fleet::saved_worker& it = *out.add_workers();
     it.set_worker(worker.str());
     it.set_left(true);
