--- a/fleet/slow-leave-test.cc
+++ b/fleet/slow-leave-test.cc
@@ -8,19 +8,14 @@
 // (see worker-drain-test).
 #include <CppUTest/TestHarness.h>
 
-#include <string>
-
-#include "fleet/slow-test-world.h"
+#include "fleet/slow-test-rows.h"
 
 using namespace kestrelreel;
 using slow::faults;
-using slow::slow_world;
 
 TEST_GROUP(slow_leave){};
 
 TEST(slow_leave, no_task_runs_twice_when_workers_leave) {
-  constexpr uint64_t seeds = 25;
-  constexpr milliseconds length{40'000};
   const faults rows[] = {
       {"workers leave", 0, 0, 0, 0, 0, 25},
       {"workers leave, links are quick", 0, 0, 0, 0, 0, 25, true},
@@ -30,16 +25,5 @@
       {"and workers are cut off", 0, 0, 0, 0, 60, 25},
       {"all of it", 300, 300, 200, 3, 150, 50},
   };
-  for (const faults& it : rows) {
-    int done = 0;
-    for (uint64_t seed = 1; seed <= seeds; ++seed) {
-      slow_world world(seed, it);
-      const std::string wrong = world.run(length);
-      STRCMP_EQUAL_TEXT(
-          "", wrong.c_str(),
-          (std::string(it.name) + ", seed " + std::to_string(seed)).c_str());
-      done += world.done();
-    }
-    CHECK_TRUE_TEXT(done > 0, it.name);
-  }
+  slow::check_rows(rows);
 }
