Sight: how far the leader is behind, and its orders behind the book

What its log could not tell so far: whether calls wait unread, how many workers are looked at for tasks, and how many runs in the book were ordered in no answer yet. leader_lag takes the median delay of the heartbeats read and the lateness of ticks; the line leader-load tells of it once a second while the leader is behind. Looks are counted (kestrelreel_placement_looks_total). The pause between decisions that are made together is the controller's own figure now. Nothing is decided by the lag yet.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -23,8 +23,6 @@
 /// Below the least election time by one tick (a voter counts whole ticks) and
 /// 2 % of drift.
 constexpr milliseconds fleet_lease{650};
-/// Decisions that come up within this time are made together.
-constexpr milliseconds settle_interval{15};
 /// Control boxes tell each other so often that they are up.
 constexpr milliseconds greeting_interval{250};
 /// EX_IOERR of sysexits.h: the disk failed.
@@ -306,9 +304,8 @@
 void fleet_record_service::settle_soon() {
   if (!controller_.unsettled() || std::exchange(settle_armed_, true)) return;
   const milliseconds passed = context_.clock.now() - settled_at_;
-  settle_timer_.expires_after(passed >= detail::settle_interval
-                                  ? milliseconds(0)
-                                  : detail::settle_interval - passed);
+  settle_timer_.expires_after(
+      std::max(milliseconds(0), controller_.settle_pause() - passed));
   settle_timer_.async_wait([this](boost::system::error_code ec) {
     settle_armed_ = false;
     if (ec) return;
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -83,6 +83,7 @@
 }
 
 void fleet_controller::answer(worker_view& it) {
+  ++load_.answers;
   fleet::fleet_response response;
   response.set_status(fleet::fleet_ok);
   *response.mutable_orders() = orders_for(it);
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -95,11 +95,14 @@
     return respond(make_response(fleet::fleet_ok, "overtaken"));
   }
   ++beats_;
+  ++load_.beats;
+  lag_.read(it->delay);
   note_new_life(*it);
   take_ends(*it, timely);
   // Nobody waits for the answer of a late one any more.
   if (!timely) {
     ++late_beats_;
+    ++load_.late;
     ++metrics_.counter("kestrelreel_heartbeats_late_total");
     return respond(make_response(fleet::fleet_ok, "late"));
   }
@@ -326,8 +329,10 @@
 void fleet_controller::settle() {
   unsettled_ = false;
   if (!leads_) return;
+  ++load_.turns;
   const bool decides = log_.may_decide();
   if (decides) plan();
+  note_looks();
   flush();
   if (!decides) return;
   for (auto& [id, it] : workers_.views()) {
@@ -337,7 +342,9 @@
 
 void fleet_controller::tick() {
   if (!leads_) return;
+  review_lag();
   review_pace_of_reading();
+  report_load();
   if (!log_.may_decide()) return;
   review_restarts();
   review_silence();
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -337,6 +337,9 @@
   led_since_ = ticked_at_ = clock_.now();
   beats_ = late_beats_ = 0;
   behind_until_ = {};
+  lag_.reset();
+  load_ = {};
+  load_.since = led_since_;
   unsettled_ = true;
   log_event(detail::service_name, log_level::info, "leads")
       .with("term", log_.term().value())
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -15,6 +15,7 @@
 #include "absl/status/status.h"
 #include "base/clock.h"
 #include "fleet/job-book.h"
+#include "fleet/leader-lag.h"
 #include "fleet/scheduler.h"
 #include "fleet/worker-table.h"
 #include "kernel/metrics.h"
@@ -55,6 +56,8 @@
   /// workers: a look takes 10 to 15 us. Readings are averages of half a second,
   /// so that little is lost while each worker's turn comes within that.
   uint64_t paces_per_s = 2'500;
+  /// Decisions that come up within this time are made together.
+  milliseconds settle_pause{15};
   /// The longest that an answer to a worker waits for the log.
   milliseconds answer_wait{500};
   /// The longest that a worker takes over a stop.
@@ -100,6 +103,8 @@
   bool leading() const { return leads_; }
   /// True when `settle` has something to do.
   bool unsettled() const { return unsettled_; }
+  /// Decisions that come up within this time are to be made together.
+  milliseconds settle_pause() const { return settings_.settle_pause; }
 
   const job_book& book() const { return book_; }
   const worker_table& workers() const { return workers_; }
@@ -177,6 +182,27 @@
   bool is_lasting(const run_key& run) const;
   bool lists_end(const worker_view& it, const run_key& run) const;
 
+  // How far it is behind: controller-lag.cc.
+  struct orders_behind {
+    uint64_t unsent = 0;
+    uint64_t unsent_lasting = 0;
+    uint64_t unlisted = 0;
+  };
+  /// What was done since the last line that told of it.
+  struct load_told {
+    time_point since{};
+    milliseconds longest_lag{0};
+    uint64_t beats = 0;
+    uint64_t late = 0;
+    uint64_t turns = 0;
+    uint64_t answers = 0;
+    uint64_t looks = 0;
+  };
+  void review_lag();
+  void note_looks();
+  void report_load();
+  orders_behind count_orders_behind() const;
+
   // What is given up on: controller-reviews.cc.
   enum class loss_cause {
     lease,
@@ -227,6 +253,8 @@
   time_point ticked_at_{};
   time_point unstarted_reviewed_at_{};
   time_point behind_until_{};
+  leader_lag lag_;
+  load_told load_;
 };
 
 /// A response with just a status and a reason.
--- /dev/null
+++ b/fleet/leader-lag-test.cc
@@ -0,0 +1,59 @@
+// The lag is that of half of the heartbeats; the stretch rises while it is
+// large and falls again slowly.
+#include "fleet/leader-lag.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kestrelreel;
+
+TEST_GROUP(leader_lag) {
+  leader_lag lag;
+
+  void read(int n, milliseconds delay) {
+    for (int i = 0; i < n; ++i) lag.read(delay);
+  }
+  void pass(int ticks, milliseconds delay) {
+    for (int i = 0; i < ticks; ++i) {
+      read(10, delay);
+      lag.tick(milliseconds(0));
+    }
+  }
+};
+
+TEST(leader_lag, on_time_nothing_is_put_off) {
+  pass(50, milliseconds(40));
+  LONGS_EQUAL(40, lag.lag().count());
+  LONGS_EQUAL(100, lag.stretch_percent());
+  CHECK_FALSE(lag.behind());
+}
+
+TEST(leader_lag, few_held_up_heartbeats_are_not_the_leaders_lag) {
+  for (int i = 0; i < 20; ++i) {
+    read(6, milliseconds(30));
+    read(4, milliseconds(3'000));
+    lag.tick(milliseconds(0));
+  }
+  CHECK_FALSE(lag.behind());
+}
+
+TEST(leader_lag, stretch_rises_within_half_a_second_and_is_bounded) {
+  pass(5, milliseconds(400));
+  LONGS_EQUAL(400, lag.stretch_percent());
+  pass(50, milliseconds(900));
+  LONGS_EQUAL(400, lag.stretch_percent());
+  LONGS_EQUAL(800, lag.stretched(milliseconds(200)).count());
+}
+
+TEST(leader_lag, held_up_ticks_count_without_heartbeats) {
+  lag.tick(milliseconds(700));
+  LONGS_EQUAL(700, lag.lag().count());
+  CHECK_TRUE(lag.behind());
+}
+
+TEST(leader_lag, what_caught_up_takes_up_its_duties_again) {
+  pass(5, milliseconds(400));
+  pass(10, milliseconds(100));
+  LONGS_EQUAL(400, lag.stretch_percent());
+  pass(20, milliseconds(40));
+  LONGS_EQUAL(100, lag.stretch_percent());
+}
--- /dev/null
+++ b/fleet/leader-lag.cc
@@ -0,0 +1,40 @@
+#include "fleet/leader-lag.h"
+
+#include <algorithm>
+
+namespace kestrelreel {
+namespace detail {
+
+/// The stretch grows faster than it falls: a leader that is behind must shed
+/// work before answers come too late, and one that caught up would fall behind
+/// again if it took up all at once. In percent of the stretch, each tick.
+constexpr unsigned growth_percent = 150;
+constexpr unsigned decay_percent = 90;
+
+}  // namespace detail
+
+/// Half of the heartbeats: what a cut held up comes late whatever the leader
+/// does, and is of a few workers.
+milliseconds leader_lag::take_median() {
+  if (delays_.empty()) return milliseconds(0);
+  const auto middle =
+      delays_.begin() + static_cast<std::ptrdiff_t>(delays_.size() / 2);
+  std::nth_element(delays_.begin(), middle, delays_.end());
+  const milliseconds median = *middle;
+  delays_.clear();
+  return median;
+}
+
+void leader_lag::tick(milliseconds late) {
+  lag_ = take_median() + std::max(milliseconds(0), late);
+  unsigned next = stretch_percent_;
+  if (lag_ >= settings_.behind_from) {
+    next = next * detail::growth_percent / usual_percent;
+  } else if (lag_ < settings_.behind_from / 2) {
+    next = next * detail::decay_percent / usual_percent;
+  }
+  stretch_percent_ =
+      std::clamp(next, usual_percent, settings_.most_stretch_percent);
+}
+
+}  // namespace kestrelreel
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -207,6 +207,7 @@
   using ranked = std::pair<double, std::ptrdiff_t>;
   std::vector<ranked> values;
   values.reserve(all.size());
+  looks_ += all.size();
   for (size_t i = 0; i < all.size(); ++i) {
     const auto value = value_of(step, *all[i]);
     if (value) values.emplace_back(*value, -static_cast<std::ptrdiff_t>(i));
@@ -255,6 +256,7 @@
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
   if (freed_.empty() || spec.fills() || spec.gang()) return false;
   const step_to_place step = place_of(job, first, false);
+  looks_ += freed_.size();
   return std::any_of(freed_.begin(), freed_.end(), [&](const auto* it) {
     return fits(*it, step) && may_carry(*it, step);
   });
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "fleet/interference.h"
@@ -107,6 +108,8 @@
   /// Logs what stands in the way of lasting tasks that have waited for more
   /// than a second: once a second, and for a few steps at most.
   void report_waits();
+  /// How often a worker was looked at for a task since the last call.
+  uint64_t take_looks() { return std::exchange(looks_, 0); }
 
  private:
   /// A step whose tasks are being placed.
@@ -355,6 +358,7 @@
   time_point wall_told_at_{};
   // Where the last look for runs to move ended.
   worker_id moves_from_;
+  uint64_t looks_ = 0;
 };
 
 /// True when the worker bears the label.
