--- /dev/null
+++ b/fleet/busy-leader-test-world.h
@@ -0,0 +1,425 @@
+// A leader each of whose steps costs time on the virtual clock, as on a small
+// share of a core: reading, looking at workers, answering, taking in what the
+// log kept. Workers call intake boxes, which pass their calls on to it.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/slow-test-parts.h"
+
+namespace kestrelreel::busy {
+
+using slow::answer_limit;
+using slow::end_ledger;
+using slow::machine;
+
+constexpr milliseconds step_time{5};
+constexpr double us_per_step = 5'000;
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds pass_on_interval{10};
+/// Two syncs and a way.
+constexpr milliseconds commit_time{15};
+constexpr int intakes = 4;
+constexpr milliseconds short_work{640};
+/// A worker calls again so long after an end.
+constexpr milliseconds after_end{50};
+/// The users bear a lasting task away for 6 s, and for 3 s more while there is
+/// room for it.
+constexpr milliseconds most_away{9'000};
+/// An order that its worker gets later than this after the log kept it holds
+/// room for nothing: a call's time, and a quarter for its way.
+constexpr milliseconds most_order_lag{1'250};
+
+/// What a step of the leader takes, in microseconds.
+struct costs {
+  double read = 20;
+  double answer = 20;
+  double look = 1;
+  double room_look = 6;
+  double entry = 100;
+  double turn = 100;
+};
+
+struct setting {
+  const char* name;
+  int workers;
+  costs cost;
+  // Jobs a second, each of so many short tasks.
+  double jobs_per_s = 8;
+  uint32_t width = 8;
+};
+
+/// What a run came to.
+struct outcome {
+  std::string wrong;
+  int lapsed = 0;
+  int done = 0;
+  milliseconds longest_away{0};
+  milliseconds longest_order_lag{0};
+};
+
+class busy_world final : public fleet_log {
+ public:
+  explicit busy_world(const setting& it)
+      : setting_(it), leader_(make_settings(), clock_, *this, metrics_) {
+    for (int i = 0; i < intakes; ++i) {
+      boxes_.push_back(std::make_unique<intake_box>(clock_, metrics_));
+    }
+    for (int i = 0; i < it.workers; ++i) {
+      caller& c = callers_.emplace_back();
+      c.it.id = c.it.name = "w" + std::to_string(i);
+      c.it.address = c.it.id + ":1";
+      c.it.born = clock_.now();
+      c.it.born_ms = slow::first_born;
+      c.it.lease = clock_.now();
+      c.it.next_call = clock_.now() + milliseconds(i % 200);
+      c.box = i % intakes;
+    }
+    leader_.leads(true);
+    fleet::fleet_request request;
+    *request.mutable_put_config() = test_world::make_config(1, 99);
+    leader_.request(request, [](const fleet::fleet_response&) {});
+  }
+
+  bool may_decide() override { return true; }
+  term_number term() const override { return term_number(1); }
+  absl::Status propose(const fleet::fleet_command& command) override {
+    entries_.push_back({clock_.now() + commit_time, command});
+    return absl::OkStatus();
+  }
+
+  void pass(milliseconds length) {
+    const time_point end = clock_.now() + length;
+    while (clock_.now() < end && out_.wrong.empty()) one_step();
+  }
+
+  /// Lasting tasks come, `n` jobs of `width`.
+  void serve(int n, uint32_t width) {
+    for (int i = 0; i < n; ++i) {
+      fleet::step_spec step = test_world::make_step(width);
+      step.set_long_running(true);
+      step.set_target_ms(100);
+      step.set_image("serving");
+      submit(++lasting_jobs_, step);
+    }
+  }
+
+  /// The first `n` workers are lost for good, with what they run.
+  void lose(int n) {
+    for (int i = 0; i < n; ++i) callers_[i].lost = true;
+  }
+
+  const outcome& out() {
+    const time_point now = clock_.now();
+    for (const auto& [task, since] : away_since_) note_away(now - since);
+    return out_;
+  }
+
+ private:
+  static constexpr uint64_t first_short_job = 10'000;
+
+  struct caller {
+    machine it;
+    int box = 0;
+    bool lost = false;
+    bool lapsed = false;
+  };
+  struct intake_box {
+    intake_box(clock_source& clock, metrics_registry& metrics)
+        : intake({}, clock, metrics) {}
+    beat_intake intake;
+    std::deque<fleet::beat_batch> sent;
+    std::deque<slow::passed_answer> replies;
+  };
+  struct entry {
+    time_point lasts;
+    fleet::fleet_command command;
+  };
+  struct reply {
+    size_t caller;
+    uint64_t sequence;
+    fleet::fleet_response response;
+  };
+
+  static controller_settings make_settings() {
+    controller_settings settings = test_world::make_settings();
+    settings.leases.hold = longest_hold;
+    settings.direct_workers = 0;
+    return settings;
+  }
+
+  void one_step() {
+    clock_.advance(step_time);
+    come();
+    for (auto& box : boxes_) pass_on(*box);
+    spare_us_ = std::min(spare_us_ + us_per_step, us_per_step);
+    // What a step costs beyond what is left holds up the next ones.
+    while (spare_us_ > 0 && lead()) {
+    }
+    for (size_t i = 0; i < callers_.size(); ++i) live(i);
+    for (reply& it : std::exchange(replies_, {})) take(it);
+  }
+
+  /// Short jobs, spread evenly.
+  void come() {
+    constexpr double ms_per_s = 1'000;
+    due_jobs_ += setting_.jobs_per_s * step_time.count() / ms_per_s;
+    for (; due_jobs_ >= 1; --due_jobs_) {
+      fleet::step_spec step = test_world::make_step(setting_.width);
+      step.set_estimate_ms(static_cast<uint64_t>(short_work.count()));
+      submit(first_short_job + ++short_jobs_, step);
+    }
+  }
+
+  void submit(uint64_t job, const fleet::step_spec& step) {
+    submissions_.push_back(test_world::make_submit(job, {step}));
+  }
+
+  void pass_on(intake_box& box) {
+    for (const slow::passed_answer& it : std::exchange(box.replies, {})) {
+      fleet::beat_answers one;
+      *one.add_answers() = it.answer;
+      box.intake.answered(one);
+    }
+    if (clock_.now() % tick_interval == milliseconds(0)) box.intake.expire();
+    if (clock_.now() % pass_on_interval != milliseconds(0)) return;
+    if (box.intake.has_news()) box.sent.push_back(box.intake.collect("leader"));
+  }
+
+  /// The next piece of work in turn; false where there is none.
+  bool lead() {
+    constexpr int sources = 4 + intakes;
+    for (int i = 0; i < sources; ++i) {
+      at_ = (at_ + 1) % sources;
+      const double cost = work(at_);
+      if (cost == 0) continue;
+      spare_us_ -= cost;
+      return true;
+    }
+    return false;
+  }
+
+  /// What it cost, 0 where there was nothing to do.
+  double work(int source) {
+    const time_point now = clock_.now();
+    const costs& cost = setting_.cost;
+    if (source == 0) {
+      if (now - ticked_at_ < tick_interval) return 0;
+      const double all = charged([this] { leader_.tick(); });
+      ticked_at_ = now;
+      return all;
+    }
+    if (source == 1) {
+      const bool due = now - settled_at_ >= leader_.settle_pause();
+      if (!leader_.unsettled() || !due) return 0;
+      settled_at_ = now;
+      return charged([this] { leader_.settle(); });
+    }
+    if (source == 2) {
+      if (entries_.empty() || entries_.front().lasts > now) return 0;
+      apply();
+      return cost.entry;
+    }
+    if (source == 3) {
+      if (submissions_.empty()) return 0;
+      leader_.request(submissions_.front(),
+                      [](const fleet::fleet_response&) {});
+      submissions_.pop_front();
+      return cost.entry;
+    }
+    return read(*boxes_[source - 4]);
+  }
+
+  double read(intake_box& box) {
+    if (box.sent.empty()) return 0;
+    const fleet::beat_batch batch = std::move(box.sent.front());
+    box.sent.pop_front();
+    const double all = charged([&] {
+      leader_.take_beats(batch, [this, &box](fleet::beat_answer answer) {
+        if (answer.response().has_orders()) ++answers_;
+        box.replies.push_back({clock_.now(), std::move(answer)});
+      });
+    });
+    return all + setting_.cost.read * batch.beats_size();
+  }
+
+  /// By what the leader counts of its looks and answers.
+  template <typename Work>
+  double charged(Work work) {
+    uint64_t& looks = metrics_.counter("kestrelreel_placement_looks_total");
+    uint64_t& rooms = metrics_.counter("kestrelreel_room_looks_total");
+    const uint64_t looks_before = looks;
+    const uint64_t rooms_before = rooms;
+    const uint64_t answers_before = answers_;
+    work();
+    const costs& cost = setting_.cost;
+    return cost.turn + cost.look * static_cast<double>(looks - looks_before) +
+           cost.room_look * static_cast<double>(rooms - rooms_before) +
+           cost.answer * static_cast<double>(answers_ - answers_before);
+  }
+
+  void apply() {
+    const fleet::fleet_command command = std::move(entries_.front().command);
+    entries_.pop_front();
+    leader_.applied(command);
+    for (const auto& it : command.batch().commands()) {
+      for (const fleet::run_start& start : it.starts().starts()) {
+        kept_at_[{to_key(start.task()), run_number(start.run())}] =
+            clock_.now();
+      }
+    }
+  }
+
+  void live(size_t i) {
+    caller& c = callers_[i];
+    const time_point now = clock_.now();
+    if (c.lost) return c.lapsed ? void() : drop(c);
+    for (auto run = c.it.runs.begin(); run != c.it.runs.end();) {
+      const auto next = std::next(run);
+      if (now >= run->second) end_run(c, run->first, fleet::run_done);
+      run = next;
+    }
+    if (now >= c.it.lease) lapse(c);
+    if (c.it.out != 0 && now - c.it.sent >= answer_limit) turn_elsewhere(c);
+    if (c.it.out == 0 && now >= c.it.next_call) call(i);
+  }
+
+  void drop(caller& c) {
+    c.lapsed = true;
+    for (const auto& [run, ends] : c.it.runs) note_gone(run.task);
+    c.it.runs.clear();
+  }
+
+  void lapse(caller& c) {
+    const auto runs = c.it.runs;
+    for (const auto& [run, ends] : runs) end_run(c, run, fleet::run_lapsed);
+    out_.lapsed += static_cast<int>(runs.size());
+    ends_.lapse(c.it.id);
+  }
+
+  void turn_elsewhere(caller& c) {
+    c.it.out = 0;
+    c.box = (c.box + 1) % intakes;
+    c.it.next_call = clock_.now();
+  }
+
+  void end_run(caller& c, run_key run, fleet::run_outcome outcome) {
+    c.it.runs.erase(run);
+    fleet::run_end& end = c.it.ended.emplace_back();
+    end.set_number(++c.it.end_number);
+    *end.mutable_task() = to_ref(run.task);
+    end.set_run(static_cast<uint32_t>(run.run.value()));
+    end.set_outcome(outcome);
+    c.it.next_call = std::min(c.it.next_call, clock_.now() + after_end);
+    note_gone(run.task);
+    if (outcome != fleet::run_done) return;
+    ++out_.done;
+    ends_.add(run.task, {c.it.id, end.number(), clock_.now()});
+  }
+
+  void call(size_t i) {
+    machine& it = callers_[i].it;
+    it.out = ++it.sequence;
+    it.sent = clock_.now();
+    boxes_[callers_[i].box]->intake.take(
+        slow::make_beat(it, clock_.now()),
+        [this, i, n = it.sequence](fleet::fleet_response response) {
+          replies_.push_back({i, n, std::move(response)});
+        });
+  }
+
+  void take(reply& answer) {
+    caller& c = callers_[answer.caller];
+    machine& it = c.it;
+    if (c.lost || it.out != answer.sequence) return;
+    if (answer.response.status() != fleet::fleet_ok) return turn_elsewhere(c);
+    const fleet::worker_orders& orders = answer.response.orders();
+    it.out = 0;
+    const milliseconds pause(static_cast<int64_t>(orders.next_beat_ms()));
+    it.next_call = clock_.now() + std::max(pause, after_end);
+    if (orders.hold_ms() == 0) return;
+    it.lease = std::max(
+        it.lease,
+        it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
+    std::erase_if(it.ended, [&](const auto& e) {
+      return e.number() <= orders.last_end();
+    });
+    fail(ends_.note(it.id, orders.last_end()));
+    for (const auto& stop : orders.stops()) {
+      const run_key run{to_key(stop.task()), run_number(stop.run())};
+      it.highest[run.task] = std::max(it.highest[run.task], run.run);
+      if (it.runs.contains(run)) end_run(c, run, fleet::run_stopped);
+    }
+    for (const auto& start : orders.starts()) begin(c, start);
+  }
+
+  void begin(caller& c, const fleet::start_order& start) {
+    machine& it = c.it;
+    const run_key run{to_key(start.task()), run_number(start.run())};
+    if (run.run <= it.highest[run.task]) return;
+    it.highest[run.task] = run.run;
+    if (!running_.insert(run.task).second) {
+      fail(to_text(run.task) + " runs twice");
+    }
+    fail(ends_.start(run.task));
+    if (it.runs.size() >= slow::worker_room) fail(it.id + " is over its room");
+    const time_point now = clock_.now();
+    const auto kept = kept_at_.find(run);
+    if (kept != kept_at_.end()) {
+      out_.longest_order_lag =
+          std::max(out_.longest_order_lag, now - kept->second);
+    }
+    it.runs[run] = is_lasting(run.task) ? time_point::max() : now + short_work;
+    const auto away = away_since_.find(run.task);
+    if (away == away_since_.end()) return;
+    note_away(now - away->second);
+    away_since_.erase(away);
+  }
+
+  static bool is_lasting(const task_key& task) {
+    return task.job.value() < first_short_job;
+  }
+  void note_gone(const task_key& task) {
+    running_.erase(task);
+    if (is_lasting(task)) away_since_.try_emplace(task, clock_.now());
+  }
+  void note_away(milliseconds away) {
+    out_.longest_away = std::max(out_.longest_away, away);
+  }
+  void fail(const std::string& what) {
+    if (out_.wrong.empty() && !what.empty()) {
+      out_.wrong = what + " at " + std::to_string(clock_.now().count());
+    }
+  }
+
+  setting setting_;
+  test_clock clock_;
+  metrics_registry metrics_;
+  fleet_controller leader_;
+  std::vector<std::unique_ptr<intake_box>> boxes_;
+  std::deque<caller> callers_;
+  std::deque<entry> entries_;
+  std::deque<fleet::fleet_request> submissions_;
+  std::vector<reply> replies_;
+  std::map<run_key, time_point> kept_at_;
+  std::set<task_key> running_;
+  std::map<task_key, time_point> away_since_;
+  end_ledger ends_;
+  outcome out_;
+  double spare_us_ = 0;
+  double due_jobs_ = 0;
+  uint64_t short_jobs_ = 0;
+  uint64_t lasting_jobs_ = 0;
+  uint64_t answers_ = 0;
+  int at_ = 0;
+  time_point ticked_at_{};
+  time_point settled_at_{};
+};
+
+}  // namespace kestrelreel::busy
