Steps that wait cost the leader a bounded part of its processor

Callers saw starts held up (half within 117 to 266 ms as the charge rose) and, on a slower machine, lasting tasks that never came back. A turn's cost grew with what had come up since the last, so that a late leader got later.

Now a step is looked at where runs ended only if the largest gap there could hold it; steps that found no room are tried again the later the more of them wait (400,000 looks a second in all); and a plan looks at no more than 60,000 workers, the most urgent steps first, the others in the next turn.

--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -183,7 +183,7 @@
   const step_to_place step = place_of(*job, detail::step_key(run.task), false);
   worker_view* it = nullptr;
   double best = 0;
-  looks_ += all.size();
+  count_looks(all.size());
   for (worker_view* place : all) {
     const auto value = value_of(step, *place);
     if (!value || (it != nullptr && *value <= best)) continue;
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -48,7 +48,7 @@
   const time_point now = clock_.now();
   return it.known && !it.over && !it.doubtful && !it.leaves &&
          !it.beat.draining() && !is_evacuated(it) && it.avoided_until <= now &&
-         now - it.heard < settings_.silent_limit;
+         it.heard > it.taken_back_at && now - it.heard < settings_.silent_limit;
 }
 
 bool fleet_scheduler::is_evacuated(const worker_view& it) const {
@@ -65,6 +65,18 @@
   return all;
 }
 
+bool fleet_scheduler::is_open(const worker_view& it) const {
+  return it.respond &&
+         clock_.now() - it.asked + it.delay < settings_.open_limit;
+}
+
+/// Where the present plan may place tasks.
+std::vector<worker_view*> fleet_scheduler::places_now() {
+  std::vector<worker_view*> all = candidates();
+  if (only_open_) std::erase_if(all, [&](auto* it) { return !is_open(*it); });
+  return all;
+}
+
 /// True when nothing of a job that could run has run for long.
 bool fleet_scheduler::is_starved(const job_plan& plan) const {
   return plan.idle_since &&
@@ -111,8 +123,10 @@
       if (!time_is_due) continue;
       due = true;
       const task_key first{number, time, step, 0};
-      open = open || (book_.step_is_due(job, time, step) &&
-                      (may_try(first) || fits_where_freed(job, first)));
+      open = open ||
+             (book_.step_is_due(job, time, step) &&
+              (may_try(first) ||
+               may_fit_where_freed(job.spec.steps(static_cast<int>(step)))));
     }
   }
   if (!due) plan.waits_since.reset();
@@ -136,7 +150,8 @@
   return jobs;
 }
 
-fleet::run_starts fleet_scheduler::plan(uint64_t wall_ms) {
+fleet::run_starts fleet_scheduler::plan(uint64_t wall_ms, bool only_open) {
+  only_open_ = only_open;
   wall_ms_ = wall_ms;
   wall_told_at_ = clock_.now();
   proposed_.clear();
@@ -145,14 +160,25 @@
   }
   fleet::run_starts out;
   freed_ = take_freed();
+  looks_left_ = settings_.most_plan_looks;
+  cut_short_ = false;
   const std::vector<waiting_job> jobs = waiting_jobs();
   if (jobs.empty()) return out;
   // Filled by the first step that is tried.
   std::vector<worker_view*> all;
-  for (const waiting_job& it : jobs) plan_job(it, all, out);
+  for (const waiting_job& it : jobs) {
+    cut_short_ = looks_left_ == 0;
+    if (cut_short_) return out;
+    plan_job(it, all, out);
+  }
   return out;
 }
 
+void fleet_scheduler::count_looks(uint64_t n) {
+  looks_ += n;
+  looks_left_ -= std::min(looks_left_, n);
+}
+
 fleet_scheduler::step_to_place fleet_scheduler::place_of(const job_entry& job,
                                                          const task_key& first,
                                                          bool starved) {
@@ -207,7 +233,7 @@
   using ranked = std::pair<double, std::ptrdiff_t>;
   std::vector<ranked> values;
   values.reserve(all.size());
-  looks_ += all.size();
+  count_looks(all.size());
   for (size_t i = 0; i < all.size(); ++i) {
     const auto value = value_of(step, *all[i]);
     if (value) values.emplace_back(*value, -static_cast<std::ptrdiff_t>(i));
@@ -240,28 +266,56 @@
 
 std::vector<worker_view*> fleet_scheduler::take_freed() {
   std::vector<worker_view*> out;
+  freed_most_ = {};
   for (auto& [id, it] : workers_.views()) {
     if (!std::exchange(it.freed, false) || !is_usable(it)) continue;
+    if (only_open_ && !is_open(it)) continue;
     if (std::exchange(it.load_is_old, false)) it.load = load_of(it);
+    const auto rest = [](uint64_t all, uint64_t taken) {
+      return all - std::min(all, taken);
+    };
+    freed_most_.cpu =
+        std::max(freed_most_.cpu, rest(it.beat.cpu_milli(), it.load.cpu));
+    freed_most_.memory_mb = std::max(
+        freed_most_.memory_mb, rest(it.beat.memory_mb(), it.load.memory_mb));
+    freed_most_.accelerators =
+        std::max(freed_most_.accelerators,
+                 rest(it.beat.accelerators(), it.load.accelerators));
     out.push_back(&it);
   }
   return out;
 }
 
+/// False where none of the workers could hold a task of the step.
+bool fleet_scheduler::may_fit_where_freed(const fleet::step_spec& spec) const {
+  if (freed_.empty() || spec.fills() || spec.gang()) return false;
+  return freed_most_.covers(
+      {spec.cpu_milli(), spec.memory_mb(), spec.accelerators()});
+}
+
 /// A step that found no room is looked at again at once where runs have ended
 /// since: else the worker's answer goes out without a start, and the room lies
 /// idle until its next heartbeat. Fill tasks need no room that others leave.
 bool fleet_scheduler::fits_where_freed(const job_entry& job,
                                        const task_key& first) {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
-  if (freed_.empty() || spec.fills() || spec.gang()) return false;
+  if (!may_fit_where_freed(spec)) return false;
   const step_to_place step = place_of(job, first, false);
-  looks_ += freed_.size();
+  count_looks(freed_.size());
   return std::any_of(freed_.begin(), freed_.end(), [&](const auto* it) {
     return fits(*it, step) && may_carry(*it, step);
   });
 }
 
+milliseconds fleet_scheduler::retry_pause(size_t workers) const {
+  constexpr uint64_t ms_per_s = 1'000;
+  const milliseconds alone = std::chrono::duration_cast<milliseconds>(
+      settings_.retry_per_worker * workers);
+  const milliseconds in_turn(static_cast<int64_t>(
+      try_again_.size() * workers * ms_per_s / settings_.retry_looks_per_s));
+  return std::max(alone, in_turn);
+}
+
 void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
                                 uint32_t step, std::vector<worker_view*>& all,
                                 fleet::run_starts& out) {
@@ -272,16 +326,14 @@
   const task_key first{job.number, time, step, 0};
   const bool anywhere = may_try(first);
   if (!anywhere && !fits_where_freed(*job.entry, first)) return;
-  if (all.empty()) all = candidates();
+  if (all.empty()) all = places_now();
   const step_to_place place = place_of(*job.entry, first, job.starved);
   const std::vector<placement> placed =
       place_tasks(job, place, anywhere ? all : freed_);
   const size_t wanted = entry.tasks.size() - entry.done;
   if (anywhere) try_again_.erase(first);
   if (anywhere && placed.size() < wanted - entry.running) {
-    const auto pause = std::chrono::duration_cast<milliseconds>(
-        settings_.retry_per_worker * all.size());
-    try_again_[first] = clock_.now() + pause;
+    try_again_[first] = clock_.now() + retry_pause(all.size());
   }
   if (spec.gang() && placed.size() < wanted) {
     for (const placement& it : placed) it.where->load = load_of(*it.where);
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -60,11 +60,25 @@
   /// looking through a worker takes 1 to 2 us, and a leader of 0.32 cores
   /// should not spend more than some hundredths of it on steps that wait.
   std::chrono::microseconds retry_per_worker{300};
+  /// All steps that wait together cost no more than so many looks at workers a
+  /// second; with more of them each is tried again later. A look takes 0.1 to
+  /// 0.3 us, so that this is a quarter of a leader of 0.39 cores: 3 to 4
+  /// million a second, which waiting steps of 1,100 workers came to, used it
+  /// up.
+  uint64_t retry_looks_per_s = 400'000;
+  /// One plan looks at no more workers than that, so that answers to workers
+  /// don't wait for it longer than some 15 ms of a core; the less urgent steps
+  /// have their turn in the next one.
+  uint64_t most_plan_looks = 60'000;
   /// A worker silent for longer gets no new work; two heartbeat intervals.
   milliseconds silent_limit{3'000};
   /// Failed ends in a row, of at least two jobs, after which a worker is
   /// avoided.
   unsigned avoid_after = 3;
+  /// A call that has waited for longer counts as no open one: the log takes
+  /// some 25 ms, a turn of a leader that is behind up to 200, and the worker
+  /// turns elsewhere after 1,000.
+  milliseconds open_limit{600};
 };
 
 /// Decides; keeps only what it derives from the book and the workers.
@@ -77,7 +91,14 @@
   /// The starts that can be made now, the most urgent first; each is noted as
   /// proposed at its worker. `wall_ms` is the time of day, for jobs that are
   /// due at a time; until the next plan it is taken to go on from there.
-  fleet::run_starts plan(uint64_t wall_ms);
+  /// With `only_open`, for a leader that is behind, only workers whose call
+  /// waits for an answer get any, so that no order lies in the book for longer
+  /// than the log and a turn take.
+  fleet::run_starts plan(uint64_t wall_ms, bool only_open = false);
+  /// True when the worker's call waits for an answer that it will still take.
+  bool is_open(const worker_view& it) const;
+  /// True when the last plan left steps to the next one.
+  bool cut_short() const { return cut_short_; }
   /// Runs of fill tasks that are held back hard where they are, and could work
   /// elsewhere; at most a few at a time.
   std::vector<run_key> moves();
@@ -247,6 +268,7 @@
   job_plan& plan_of(job_number number);
   bool can_be_tried(job_number number, const job_entry& job);
   std::vector<worker_view*> candidates();
+  std::vector<worker_view*> places_now();
   bool is_usable(const worker_view& it) const;
   bool is_evacuated(const worker_view& it) const;
   bool is_cold(const worker_view& it) const;
@@ -266,6 +288,9 @@
   job_order order_now(job_plan& plan, const job_entry& job);
   bool may_try(const task_key& step) const;
   std::vector<worker_view*> take_freed();
+  void count_looks(uint64_t n);
+  milliseconds retry_pause(size_t workers) const;
+  bool may_fit_where_freed(const fleet::step_spec& spec) const;
   bool fits_where_freed(const job_entry& job, const task_key& first);
   bool fits(const worker_view& it, const step_to_place& step) const;
   bool bears(const worker_view& it, const step_to_place& step) const;
@@ -349,6 +374,12 @@
   std::map<task_key, time_point> no_opening_until_;
   // Workers where runs ended since the last plan.
   std::vector<worker_view*> freed_;
+  // The most that any of them has free of each kind.
+  gain freed_most_;
+  // Looks that the present plan may still make.
+  uint64_t looks_left_ = 0;
+  bool cut_short_ = false;
+  bool only_open_ = false;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
   time_point waits_reported_at_{};
