Calls wait at the intake boxes, not unread at a leader that is behind

Cause: intake boxes passed on each call at once; at a leader that was behind it waited unread until its worker had turned elsewhere, so that reading and answering it was for nothing, and the next call came whole. One such worker's end stood in calls that were not read for 3.3 s; its runs were given up on, and the end was noted after the task had started again.

Now a box has no more calls out than the leader answers within 450 ms (a window that falls to three quarters while most answers are slower, and grows by one with each in time), passes on first those of workers that leave, then those answered longest ago, so that all leases hold, and tells the others at once to come again.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -226,7 +226,10 @@
     return check_role();
   }
   if (frame.has_beats()) return on_beats(from, frame.beats());
-  if (frame.has_beat_answers()) return intake_.answered(frame.beat_answers());
+  if (frame.has_beat_answers()) {
+    intake_.answered(frame.beat_answers());
+    return pass_on_soon();
+  }
   if (!frame.has_hello()) return;
   // An answer to what asks for none would go to and fro between two control
   // boxes as fast as they can read: 7,000 wake-ups a second on idle boxes.
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -1,5 +1,6 @@
 #include "fleet/beat-intake.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fleet/beat-order.h"
@@ -20,6 +21,12 @@
   return response;
 }
 
+/// The window falls to so much of what is out, no sooner than that again; it
+/// grows by one call with each answer in time.
+constexpr size_t narrow_percent = 75;
+constexpr size_t percent = 100;
+constexpr milliseconds narrow_again_after{300};
+
 run_key key_of(const fleet::running_row& row) {
   return {to_key(row.task()), run_number(row.run())};
 }
@@ -40,16 +47,21 @@
   }
   if (it.respond) {
     if (!it.passed_on) --news_;
+    set_out(it, false);
     std::exchange(it.respond, nullptr)(
         detail::plain_response(fleet::fleet_ok, "overtaken"));
   }
   it.beat = std::move(beat);
   it.respond = std::move(respond);
   it.called = clock_.now();
-  it.passed_on = false;
   ++news_;
 }
 
+void beat_intake::set_out(caller& it, bool out) {
+  if (std::exchange(it.passed_on, out) == out) return;
+  out ? ++out_ : --out_;
+}
+
 void beat_intake::refuse(const fleet::worker_beat& beat,
                          const respond_function& respond) {
   constexpr const char* cause = "misfit";
@@ -69,18 +81,80 @@
 fleet::beat_batch beat_intake::collect(const std::string& leader) {
   fleet::beat_batch batch;
   if (news_ == 0) return batch;
-  for (auto& [id, it] : callers_) {
-    if (!it.respond || it.passed_on) continue;
-    const bool known = it.told_to == leader;
-    *batch.add_beats() = known ? make_difference(it) : make_whole(it);
-    it.told_to = leader;
-    it.told_sequence = it.beat.sequence();
-    it.passed_on = true;
+  for (caller* it : next_callers()) {
+    const bool known = it->told_to == leader;
+    *batch.add_beats() = known ? make_difference(*it) : make_whole(*it);
+    it->told_to = leader;
+    it->told_sequence = it->beat.sequence();
+    it->passed_at = clock_.now();
+    set_out(*it, true);
+    --news_;
   }
-  news_ = 0;
   return batch;
 }
 
+/// Those whose call is passed on now.
+std::vector<beat_intake::caller*> beat_intake::next_callers() {
+  std::vector<caller*> next;
+  for (auto& [id, it] : callers_) {
+    if (it.respond && !it.passed_on) next.push_back(&it);
+  }
+  const size_t room = window_ - std::min(window_, out_);
+  if (next.size() <= room) return next;
+  std::erase_if(next, [&](const auto* it) {
+    return !it->beat.draining() &&
+           clock_.now() - it->called >= settings_.come_again_after;
+  });
+  if (next.size() <= room) return next;
+  std::stable_sort(next.begin(), next.end(), [](const auto* a, const auto* b) {
+    return std::make_pair(!a->beat.draining(), a->answered_at) <
+           std::make_pair(!b->beat.draining(), b->answered_at);
+  });
+  next.resize(room);
+  return next;
+}
+
+/// The leader answered: soon enough, or later than it should.
+void beat_intake::note_answer(caller& it) {
+  const time_point now = clock_.now();
+  // Later ones its worker drops: it has its turn again soon.
+  if (now - it.called < settings_.answer_within) it.answered_at = now;
+  if (now - it.passed_at > settings_.answer_slow) {
+    ++slow_;
+    return narrow();
+  }
+  ++quick_;
+  window_ = std::min(window_ + 1, settings_.most_window);
+}
+
+void beat_intake::narrow() {
+  const time_point now = clock_.now();
+  if (now - narrowed_at_ < detail::narrow_again_after) return;
+  narrowed_at_ = now;
+  // Calls with ends wait for the log, which may be slow where the leader isn't.
+  const bool most_are_slow = slow_ > quick_;
+  slow_ = quick_ = 0;
+  if (!most_are_slow) return;
+  window_ = std::max(
+      settings_.least_window,
+      std::min(window_, out_ + 1) * detail::narrow_percent / detail::percent);
+  log_event("intake", log_level::info, "calls-held-back")
+      .with("cause", "the leader answers late")
+      .with("at-once", window_)
+      .with("waiting", news_);
+}
+
+/// Said of no worker that leaves: what it is told then is an acknowledgement.
+void beat_intake::come_again(caller& it) {
+  ++metrics_.counter("kestrelreel_heartbeats_put_off_total");
+  fleet::fleet_response response =
+      detail::plain_response(fleet::fleet_ok, "come again");
+  response.mutable_orders()->set_next_beat_ms(
+      static_cast<uint64_t>(settings_.come_again_in.count()));
+  --news_;
+  std::exchange(it.respond, nullptr)(std::move(response));
+}
+
 fleet::worker_beat beat_intake::make_whole(caller& it) {
   it.told.clear();
   for (const fleet::running_row& row : it.beat.running()) {
@@ -141,25 +215,40 @@
     if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
     if (answer.response().wants_whole()) {
       it.told_to.clear();
-      if (std::exchange(it.passed_on, false)) ++news_;
+      if (it.passed_on) ++news_;
+      set_out(it, false);
       continue;
     }
     if (!it.passed_on) --news_;
+    if (it.passed_on) note_answer(it);
+    set_out(it, false);
     std::exchange(it.respond, nullptr)(answer.response());
   }
 }
 
 void beat_intake::leader_changed() {
   for (auto& [id, it] : callers_) {
-    if (it.respond && std::exchange(it.passed_on, false)) ++news_;
+    if (it.respond && it.passed_on) ++news_;
+    set_out(it, false);
   }
+  window_ = settings_.first_window;
 }
 
 void beat_intake::expire() {
   const time_point now = clock_.now();
   for (auto& [id, it] : callers_) {
-    if (!it.respond || now - it.called < settings_.answer_within) continue;
+    if (!it.respond) continue;
+    const milliseconds age = now - it.called;
+    const bool held_back =
+        !it.passed_on && !it.beat.draining() && window_full();
+    if (held_back && age >= settings_.come_again_after) come_again(it);
+    if (!it.respond || age < settings_.answer_within) continue;
     if (!it.passed_on) --news_;
+    if (it.passed_on) {
+      ++slow_;
+      narrow();
+    }
+    set_out(it, false);
     std::exchange(it.respond, nullptr)(detail::plain_response(
         fleet::fleet_unavailable, "no answer of a leader"));
   }
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "fleet/task-key.h"
@@ -23,6 +24,21 @@
   /// Calls without an answer of the leader are given up after this: a worker
   /// turns to another box after a second.
   milliseconds answer_within{900};
+  /// Calls that the leader has and has not answered: at first, at least (so
+  /// that each of 220 workers is answered within 3 s, half of a lease, by a
+  /// leader that takes half a second), and at most.
+  size_t first_window = 256;
+  size_t least_window = 40;
+  size_t most_window = 1'024;
+  /// A leader most of whose answers come later than this has more calls than it
+  /// can take: a worker drops answers after 1 s, of which 100 ms may have
+  /// passed here, and as much again passes before a narrower window has its
+  /// effect.
+  milliseconds answer_slow{450};
+  /// A call that could not be passed on for so long is told to come again: the
+  /// rest of the worker's second is too short for the leader's answer.
+  milliseconds come_again_after{100};
+  milliseconds come_again_in{200};
 };
 
 /// Reads heartbeats for the leader and passes on only what changed. It grants
@@ -42,10 +58,14 @@
   /// fits the call before it not at all is refused here, told in the log and
   /// counted under the name that the leader's have.
   void take(fleet::worker_beat beat, respond_function respond);
-  /// True when calls wait to be passed on.
-  bool has_news() const { return news_ > 0; }
+  /// True when calls wait to be passed on, and the leader may get them.
+  bool has_news() const { return news_ > 0 && out_ < window_; }
   /// The calls that were not passed on yet, for a leader of that name; one
-  /// that was not told of a worker before is told all of it.
+  /// that was not told of a worker before is told all of it. No more than the
+  /// leader can answer in time, first of those that leave, then of those that
+  /// it answered longest ago, so that the leases of all hold: calls that waited
+  /// unread at the leader were answered too late, each of them, and leases
+  /// lapsed.
   fleet::beat_batch collect(const std::string& leader);
   /// What the leader answered; answers to earlier calls are dropped.
   void answered(const fleet::beat_answers& answers);
@@ -65,6 +85,9 @@
     respond_function respond;
     time_point called{};
     bool passed_on = false;
+    time_point passed_at{};
+    // When the leader last answered one.
+    time_point answered_at{};
     // Who was told what, by the call with the sequence `told_sequence`.
     std::string told_to;
     uint64_t told_sequence = 0;
@@ -74,6 +97,12 @@
   };
 
   void refuse(const fleet::worker_beat& beat, const respond_function& respond);
+  std::vector<caller*> next_callers();
+  void note_answer(caller& it);
+  void narrow();
+  bool window_full() const { return out_ >= window_; }
+  void set_out(caller& it, bool out);
+  void come_again(caller& it);
   static fleet::worker_beat make_whole(caller& it);
   fleet::worker_beat make_difference(caller& it) const;
 
@@ -83,6 +112,13 @@
   // By life: what was told of an earlier one is no base for the next.
   std::map<std::string, caller> callers_;
   size_t news_ = 0;
+  // Calls that the leader has, and how many it may have.
+  size_t out_ = 0;
+  size_t window_ = settings_.first_window;
+  time_point narrowed_at_{};
+  // Answers since then, by whether they came in time.
+  size_t slow_ = 0;
+  size_t quick_ = 0;
 };
 
 }  // namespace kestrelreel
