--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -11,59 +11,10 @@
 #include <string>
 #include <vector>
 
-#include "fleet/slow-test-parts.h"
+#include "fleet/busy-leader-test-parts.h"
 
 namespace kestrelreel::busy {
 
-using slow::answer_limit;
-using slow::end_ledger;
-using slow::machine;
-
-constexpr milliseconds step_time{5};
-constexpr double us_per_step = 5'000;
-constexpr milliseconds tick_interval{100};
-constexpr milliseconds pass_on_interval{10};
-/// Two syncs and a way.
-constexpr milliseconds commit_time{15};
-constexpr int intakes = 4;
-constexpr milliseconds short_work{640};
-/// A worker calls again so long after an end.
-constexpr milliseconds after_end{50};
-/// The users bear a lasting task away for 6 s, and for 3 s more while there is
-/// room for it.
-constexpr milliseconds most_away{9'000};
-/// An order that its worker gets later than this after the log kept it holds
-/// room for nothing: a call's time, and a quarter for its way.
-constexpr milliseconds most_order_lag{1'250};
-
-/// What a step of the leader takes, in microseconds.
-struct costs {
-  double read = 20;
-  double answer = 20;
-  double look = 1;
-  double room_look = 6;
-  double entry = 100;
-  double turn = 100;
-};
-
-struct setting {
-  const char* name;
-  int workers;
-  costs cost;
-  // Jobs a second, each of so many short tasks.
-  double jobs_per_s = 8;
-  uint32_t width = 8;
-};
-
-/// What a run came to.
-struct outcome {
-  std::string wrong;
-  int lapsed = 0;
-  int done = 0;
-  milliseconds longest_away{0};
-  milliseconds longest_order_lag{0};
-};
-
 class busy_world final : public fleet_log {
  public:
   explicit busy_world(const setting& it)
