Sight: which runs ended with a worker unlisted, and what is held against their tasks

A line runs-over named neither its runs nor whether the worker had ever listed them, and told 87,787,561 ms of silence of a worker that this leader never heard.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -15,17 +15,11 @@
 /// over by so much later: a third of the longest lease, so that leases of the
 /// others hold.
 constexpr milliseconds order_lead{2'300};
-/// Tasks named in one log line, so that lines stay short.
-constexpr size_t most_named = 32;
 
-/// The runs of the orders, such as `TASK/1,TASK/2`; a long list is cut off.
-std::string name_starts(const fleet::worker_orders& orders) {
-  std::string out;
-  size_t n = 0;
+std::vector<run_key> runs_of(const fleet::worker_orders& orders) {
+  std::vector<run_key> out;
   for (const fleet::start_order& it : orders.starts()) {
-    if (n++ == most_named) return str_cat(out, ",...");
-    str_append(out, out.empty() ? "" : ",", to_text(to_key(it.task())), "/",
-               it.run());
+    out.push_back({to_key(it.task()), run_number(it.run())});
   }
   return out;
 }
@@ -180,7 +174,7 @@
       .with("worker", it.id.str())
       .with("sequence", it.beat.sequence())
       .with("count", orders.starts_size())
-      .with("runs", detail::name_starts(orders));
+      .with("runs", to_text(detail::runs_of(orders)));
 }
 
 /// A start goes out again with each answer until the worker lists the run.
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -123,11 +123,36 @@
   }
   add_command(std::move(command));
   losing_[it.id].insert(runs.begin(), runs.end());
-  log_event(detail::service_name, log_level::info, "runs-over")
-      .with("worker", it.id.str())
+  log_event line(detail::service_name, log_level::info, "runs-over");
+  line.with("worker", it.id.str())
       .with("runs", runs.size())
       .with("cause", name_of(cause))
-      .with("silent-ms", (clock_.now() - it.told).count());
+      .with("known", it.known ? "yes" : "no");
+  if (it.known) line.with("silent-ms", (clock_.now() - it.told).count());
+  // These may be why the worker fell silent.
+  const std::vector<run_key> unlisted = unlisted_of(it, runs);
+  line.with("unlisted", to_text(unlisted))
+      .with("unlisted-failures", failures_of(unlisted));
+}
+
+/// The runs whose start was sent, and that the worker never listed.
+std::vector<run_key> fleet_controller::unlisted_of(
+    const worker_view& it, const std::vector<run_key>& runs) const {
+  std::vector<run_key> out;
+  for (const run_key& run : runs) {
+    const bool listed = it.rows.contains(run) || lists_end(it, run);
+    if (it.sent.contains(run) && !listed) out.push_back(run);
+  }
+  return out;
+}
+
+/// How many ends of earlier runs the book holds against their tasks.
+uint64_t fleet_controller::failures_of(const std::vector<run_key>& runs) const {
+  uint64_t n = 0;
+  for (const run_key& it : runs) {
+    if (const task_entry* task = book_.find(it.task)) n += task->failures;
+  }
+  return n;
 }
 
 /// A leader that was held up, or reads heartbeats late, has ends and signs of
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -227,6 +227,9 @@
   static const char* name_of(loss_cause cause);
   void propose_loss(worker_view& it, const std::vector<run_key>& runs,
                     loss_cause cause);
+  std::vector<run_key> unlisted_of(const worker_view& it,
+                                   const std::vector<run_key>& runs) const;
+  uint64_t failures_of(const std::vector<run_key>& runs) const;
   void review_leaves();
   void review_restarts();
   void review_pace_of_reading();
--- a/fleet/task-key.cc
+++ b/fleet/task-key.cc
@@ -3,6 +3,12 @@
 #include "base/text.h"
 
 namespace kestrelreel {
+namespace detail {
+
+/// Runs named in one log line, so that lines stay short.
+constexpr size_t most_named = 32;
+
+}  // namespace detail
 
 task_key to_key(const fleet::task_ref& ref) {
   return {job_number(ref.job()), ref.time(), ref.step(), ref.index()};
@@ -26,4 +32,17 @@
                  key.index);
 }
 
+std::string to_text(const run_key& run) {
+  return str_cat(to_text(run.task), "/", run.run.value());
+}
+
+std::string to_text(const std::vector<run_key>& runs) {
+  std::string out;
+  for (size_t i = 0; i < runs.size(); ++i) {
+    if (i == detail::most_named) return str_cat(out, ",...");
+    str_append(out, out.empty() ? "" : ",", to_text(runs[i]));
+  }
+  return out;
+}
+
 }  // namespace kestrelreel
--- a/fleet/task-key.h
+++ b/fleet/task-key.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "proto/fleet.pb.h"
@@ -39,5 +40,10 @@
 std::string to_text(job_number job);
 /// The task as logs show it: `JOB.TIME.STEP.INDEX`.
 std::string to_text(const task_key& key);
+/// The run as logs show it: `TASK/RUN`.
+std::string to_text(const run_key& run);
+/// The runs as one value of a log line, such as `TASK/1,TASK/2`; a long list is
+/// cut off.
+std::string to_text(const std::vector<run_key>& runs);
 
 }  // namespace kestrelreel
