Failing test: a task that crashes each worker that starts it is started without end

Workers crash 10 ms after the start and are back 4 s later. The tests vary the kind of task (short, lasting, gang, fill), the road of the calls, the identity of the next life, its return after the lease, changes of leader and a state that is saved and loaded.

--- /dev/null
+++ b/fleet/crashing-test-world.h
@@ -0,0 +1,269 @@
+// What the tests of tasks that crash their workers share: workers that crash
+// when such a task begins and come back later, beside innocent work.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/text.h"
+#include "fleet/cancelled-test-world.h"
+
+namespace kestrelreel::crashing {
+
+using cancelled::boxes;
+using cancelled::call_pause;
+using cancelled::road;
+
+/// How workers behave, and what happens around them.
+struct crash_settings {
+  size_t workers = 8;
+  road calls_by = road::direct;
+  /// From a crash until the worker calls again, as a new life.
+  milliseconds returns_after{4'000};
+  bool keeps_id = false;
+  /// From the start of a crashing task until its worker crashes.
+  milliseconds crashes_after{10};
+  /// Another box leads so long after each crash; 0: none does.
+  milliseconds leader_changes_after{0};
+  /// The leader's state is saved and loaded after each crash.
+  bool reloads = false;
+};
+
+/// Workers that carry out what they are told; those that begin a crashing task
+/// crash.
+class crash_world {
+ public:
+  explicit crash_world(const crash_settings& settings) : settings_(settings) {
+    workers_.resize(settings.workers);
+    for (size_t i = 0; i < workers_.size(); ++i) begin_life(i);
+  }
+
+  boxes all;
+  /// Tells which tasks crash their workers.
+  std::function<bool(const task_key&)> crashes = [](const task_key&) {
+    return false;
+  };
+  /// How often each task began, and crashed its worker.
+  std::map<task_key, int> starts;
+  std::map<task_key, int> crashes_of;
+  /// Workers that any task crashed, and starts after a task's third crash.
+  int crashed = 0;
+  int late_starts = 0;
+
+  static fleet::step_spec make_step(uint32_t count, bool lasts = false) {
+    fleet::step_spec step = test_world::make_step(count, 500);
+    step.set_memory_mb(50);
+    step.set_long_running(lasts);
+    return step;
+  }
+  void submit(uint64_t job, const std::vector<fleet::step_spec>& steps) {
+    all.ask(test_world::make_submit(job, steps));
+    phases_[job] = fleet::job_queued;
+  }
+  /// Also of a job that is over and forgotten.
+  fleet::job_phase phase_of(uint64_t job) const { return phases_.at(job); }
+  /// Time passes in steps of the controller's tick.
+  void play(milliseconds n) {
+    constexpr milliseconds step{100};
+    for (milliseconds at{0}; at < n; at += step) {
+      all.pass(step);
+      for (size_t i = 0; i < workers_.size(); ++i) live(i);
+      change_leader_if_due();
+      for (auto& [job, phase] : phases_) {
+        const job_entry* it = all.book().find(job_number(job));
+        if (it != nullptr) phase = it->phase;
+      }
+    }
+  }
+  /// Until the job has that phase; how long that took, or the limit.
+  milliseconds play_until(uint64_t job, fleet::job_phase phase,
+                          milliseconds limit) {
+    const time_point begun = all.clock.now();
+    while (phase_of(job) != phase && all.clock.now() - begun < limit) {
+      play(call_pause);
+    }
+    return all.clock.now() - begun;
+  }
+  /// Crashes a worker for a cause of its own.
+  void crash(size_t worker) {
+    slot& it = workers_[worker];
+    it.life.reset();
+    it.returns_at = all.clock.now() + settings_.returns_after;
+    leader_changes_at_ = all.clock.now() + settings_.leader_changes_after;
+    if (settings_.reloads) {
+      const std::string saved = all.book().save();
+      CHECK_TRUE(all.leader().installed(saved).ok());
+    }
+  }
+  /// Its calls are lost for so long; it runs on under its lease.
+  void cut_off(size_t worker, milliseconds n) {
+    workers_[worker].cut_until = all.clock.now() + n;
+  }
+  /// Stands still for so long.
+  void freeze(size_t worker, milliseconds n) {
+    workers_[worker].frozen_until = all.clock.now() + n;
+  }
+  void drain(size_t worker, uint64_t remaining_ms) {
+    fleet::worker_beat& beat = workers_[worker].life->beat;
+    beat.set_draining(true);
+    beat.set_remaining_ms(remaining_ms);
+  }
+  /// Runs of a job that workers list.
+  int runs_of(uint64_t job) const {
+    int n = 0;
+    for (const slot& it : workers_) {
+      if (!it.life) continue;
+      for (const auto& row : it.life->beat.running()) {
+        n += row.task().job() == job;
+      }
+    }
+    return n;
+  }
+  bool up(size_t worker) const { return workers_[worker].life.has_value(); }
+  size_t size() const { return workers_.size(); }
+
+ private:
+  static constexpr milliseconds work_time{600};
+  struct worker_life {
+    fleet::worker_beat beat;
+    time_point begun{};
+    time_point lease_until{};
+    std::map<run_key, time_point> began;
+    std::optional<time_point> crashes_at;
+    uint64_t ends = 0;
+  };
+  struct slot {
+    std::optional<worker_life> life;
+    time_point returns_at{};
+    time_point next_call{};
+    time_point cut_until{};
+    time_point frozen_until{};
+    uint64_t lives = 0;
+  };
+
+  void begin_life(size_t i) {
+    slot& it = workers_[i];
+    worker_life& life = it.life.emplace();
+    life.begun = all.clock.now();
+    ++it.lives;
+    fleet::worker_beat& beat = life.beat;
+    const std::string name = str_cat("w", i);
+    beat.set_worker(settings_.keeps_id ? name : str_cat(name, "-", it.lives));
+    if (settings_.keeps_id) {
+      beat.set_born(1'768'000'000'000 +
+                    static_cast<uint64_t>(life.begun.count()));
+    }
+    beat.set_pool("pool");
+    beat.set_address(str_cat(name, ":1"));
+    beat.set_cpu_milli(4'000);
+    beat.set_memory_mb(1'000);
+    it.next_call = life.begun + milliseconds(static_cast<int64_t>(i % 2) * 100);
+  }
+
+  void live(size_t i) {
+    slot& it = workers_[i];
+    const time_point now = all.clock.now();
+    if (now < it.frozen_until) return;
+    if (!it.life) {
+      if (now < it.returns_at) return;
+      begin_life(i);
+    }
+    if (it.life->crashes_at && now >= *it.life->crashes_at) {
+      ++crashed;
+      return crash(i);
+    }
+    end_what_is_due(*it.life);
+    if (now < it.next_call) return;
+    it.next_call = now + call_pause;
+    if (now >= it.cut_until) call(*it.life);
+  }
+
+  void end_what_is_due(worker_life& it) {
+    const time_point now = all.clock.now();
+    std::vector<std::pair<run_key, fleet::run_outcome>> due;
+    for (const auto& [run, began] : it.began) {
+      const fleet::step_spec* step = all.book().find_step(run.task);
+      const bool lasts = step != nullptr && step->long_running();
+      if (now >= it.lease_until) {
+        due.emplace_back(run, fleet::run_lapsed);
+      } else if (!lasts && now - began >= work_time && !it.crashes_at) {
+        due.emplace_back(run, fleet::run_done);
+      }
+    }
+    for (const auto& [run, outcome] : due) end(it, run, outcome);
+  }
+
+  static void end(worker_life& it, const run_key& run,
+                  fleet::run_outcome outcome) {
+    it.began.erase(run);
+    auto& rows = *it.beat.mutable_running();
+    for (auto row = rows.begin(); row != rows.end(); ++row) {
+      if (to_key(row->task()) != run.task) continue;
+      rows.erase(row);
+      break;
+    }
+    fleet::run_end& out = *it.beat.add_ended();
+    out.set_number(++it.ends);
+    *out.mutable_task() = to_ref(run.task);
+    out.set_run(static_cast<uint32_t>(run.run.value()));
+    out.set_outcome(outcome);
+  }
+
+  fleet::worker_orders send(const fleet::worker_beat& beat) {
+    if (settings_.calls_by == road::intake) return all.pass_on(beat).orders();
+    fleet::fleet_request request;
+    *request.mutable_beat() = beat;
+    return all.ask(request).orders();
+  }
+
+  void call(worker_life& it) {
+    it.beat.set_sequence(it.beat.sequence() + 1);
+    const milliseconds age = all.clock.now() - it.begun;
+    it.beat.set_clock_ms(static_cast<uint64_t>(1'000 + age.count()));
+    const fleet::worker_orders orders = send(it.beat);
+    if (orders.hold_ms() == 0) return;
+    it.lease_until =
+        all.clock.now() + milliseconds(static_cast<int64_t>(orders.hold_ms()));
+    auto& listed = *it.beat.mutable_ended();
+    while (!listed.empty() && listed.begin()->number() <= orders.last_end()) {
+      listed.erase(listed.begin());
+    }
+    for (const fleet::stop_order& stop : orders.stops()) {
+      const run_key run{to_key(stop.task()), run_number(stop.run())};
+      if (it.began.contains(run)) end(it, run, fleet::run_stopped);
+    }
+    for (const fleet::start_order& start : orders.starts()) begin(it, start);
+  }
+
+  void begin(worker_life& it, const fleet::start_order& start) {
+    const run_key run{to_key(start.task()), run_number(start.run())};
+    if (it.began.contains(run)) return;
+    it.began[run] = all.clock.now();
+    fleet::running_row& row = *it.beat.add_running();
+    *row.mutable_task() = start.task();
+    row.set_run(start.run());
+    ++starts[run.task];
+    if (!crashes(run.task)) return;
+    constexpr int most_crashes = 3;
+    if (crashes_of[run.task]++ >= most_crashes) ++late_starts;
+    it.crashes_at = all.clock.now() + settings_.crashes_after;
+  }
+
+  void change_leader_if_due() {
+    if (settings_.leader_changes_after.count() == 0) return;
+    if (leader_changes_at_ == time_point{}) return;
+    if (all.clock.now() < leader_changes_at_) return;
+    leader_changes_at_ = {};
+    all.elect(1 - all.leads());
+  }
+
+  crash_settings settings_;
+  std::vector<slot> workers_;
+  std::map<uint64_t, fleet::job_phase> phases_;
+  time_point leader_changes_at_{};
+};
+
+}  // namespace kestrelreel::crashing
