A task that crashes the workers that start it is given up on

Cause: a run that ended with its worker was recorded as lapsed, and nothing counted it (hypothesis 1).

Mend: the crash of a worker is shown by its next life; a run that its worker had listed for 0.4 s is cleared, the others get evidence in the log, are tried apart from each other, and fail their job at 8 (two crashes at the least).

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -113,14 +113,19 @@
                 cause != loss_cause::left_serving);
   loss.set_over(cause == loss_cause::replaced ||
                 cause == loss_cause::restarted || cause == loss_cause::left);
+  loss.set_silent(cause == loss_cause::lease && !it.lapsed.empty());
   it.over = loss.over();
-  for (const run_key& run : runs) {
+  std::set<run_key> all(runs.begin(), runs.end());
+  const bool crashed = shows_crash(it, cause);
+  if (crashed) all.insert(it.lapsed.begin(), it.lapsed.end());
+  for (const run_key& run : all) {
     fleet::run_loss& lost = *loss.add_runs();
     *lost.mutable_task() = to_ref(run.task);
     lost.set_run(static_cast<uint32_t>(run.run.value()));
     const auto row = it.rows.find(run);
     if (row != it.rows.end()) lost.set_saved(row->second.saved());
   }
+  if (crashed) add_findings(it, all, loss);
   add_command(std::move(command));
   losing_[it.id].insert(runs.begin(), runs.end());
   log_event line(detail::service_name, log_level::info, "runs-over");
@@ -226,11 +231,16 @@
     if (now >= it.over_at + detail::forget_worker_after) {
       cause = loss_cause::silent;
     }
-    if (it.known && detail::is_replaced(*places, it, patience())) {
+    // One that this leader never heard may be about to call.
+    const bool silent = it.known || now - led_since_ >= detail::dead_after;
+    if (silent && detail::is_replaced(*places, it, patience())) {
       cause = loss_cause::replaced;
     }
     const bool due = over && !alive.empty();
     if (cause == loss_cause::lease && !due) continue;
+    if (cause == loss_cause::lease) {
+      it.lapsed.insert(alive.begin(), alive.end());
+    }
     propose_loss(it, {alive.begin(), alive.end()}, cause);
   }
 }
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -290,6 +290,7 @@
   fleet::fleet_command command;
   *command.mutable_starts() =
       scheduler_.plan(settings_.wall_clock_ms(), lag_.stretch_percent());
+  add_places(*command.mutable_starts());
   if (command.starts().starts_size() > 0) add_command(std::move(command));
   if (scheduler_.cut_short()) unsettled_ = true;
 }
@@ -356,6 +357,7 @@
   search();
   review_all_unstarted();
   review_unsent();
+  review_suspects();
   forget_old_jobs();
   settle();
 }
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -248,6 +248,7 @@
   if (command.has_leave() && leads_) note_left(command.leave().worker());
   if (!leads_) return;
   log_uncounted(command.report().worker(), result);
+  note_given_up(result);
   const auto it = waiting_.find(command.token());
   if (it == waiting_.end()) return;
   const respond_function respond = std::move(it->second);
@@ -327,11 +328,14 @@
   losing_.clear();
   moving_.clear();
   yielding_.clear();
+  crash_times_.clear();
+  sightings_.clear();
   if (!leads_) return;
   // Tokens of an earlier leadership of this box must never match.
   next_token_ = log_.term().value() << 32U;
   for (const auto& [id, runs] : book_.runs()) workers_.expect(id);
   for (const auto& [id, end] : book_.workers()) workers_.expect(id);
+  learn_places();
   // Counted anew: what the last leader had heard since may have been lost.
   for (const worker_id& id : book_.left()) note_left(id.str());
   led_since_ = ticked_at_ = clock_.now();
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -227,6 +228,17 @@
   static const char* name_of(loss_cause cause);
   void propose_loss(worker_view& it, const std::vector<run_key>& runs,
                     loss_cause cause);
+  // Crashes of workers: controller-crashes.cc.
+  static bool shows_crash(const worker_view& it, loss_cause cause);
+  bool crashed_with_others(const worker_view& it) const;
+  void add_findings(const worker_view& it, const std::set<run_key>& runs,
+                    fleet::worker_loss& loss);
+  std::optional<fleet::run_progress> progress_of(const run_key& run,
+                                                 const worker_view& it) const;
+  void review_suspects();
+  void note_given_up(const job_book::result& result);
+  void add_places(fleet::run_starts& starts) const;
+  void learn_places();
   std::vector<run_key> unlisted_of(const worker_view& it,
                                    const std::vector<run_key>& runs) const;
   uint64_t failures_of(const std::vector<run_key>& runs) const;
@@ -261,6 +273,10 @@
   std::set<run_key> moving_;
   // Runs that are being stopped to make room for lasting tasks.
   std::set<run_key> yielding_;
+  // The last heartbeats of workers that crashed of late.
+  std::deque<time_point> crash_times_;
+  // How far runs of suspects came, as it was recorded.
+  std::map<run_key, fleet::run_progress> sightings_;
   std::map<job_number, time_point> over_since_;
   time_point forgotten_at_{};
   time_point led_since_{};
--- /dev/null
+++ b/fleet/crash-evidence.cc
@@ -0,0 +1,95 @@
+#include "fleet/crash-evidence.h"
+
+#include <algorithm>
+
+namespace kestrelreel {
+namespace detail {
+
+/// Runs of one gang are one suspect.
+bool same_suspect(const run_key& a, const run_key& b, const job_book& book) {
+  if (a == b) return true;
+  const fleet::step_spec* step = book.find_step(a.task);
+  return step != nullptr && step->gang() && a.task.job == b.task.job &&
+         a.task.time == b.task.time && a.task.step == b.task.step;
+}
+
+bool lists_end(const worker_view& it, const run_key& run) {
+  const auto& ended = it.beat.ended();
+  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
+    return to_key(end.task()) == run.task && run_number(end.run()) == run.run;
+  });
+}
+
+/// Evidence against each of the runs that may have crashed their worker.
+uint32_t weigh(const std::vector<run_key>& suspects, const job_book& book,
+               bool others_crashed) {
+  const bool alone =
+      std::all_of(suspects.begin(), suspects.end(), [&](const run_key& run) {
+        return same_suspect(suspects.front(), run, book);
+      });
+  if (!alone) return evidence_in_company;
+  return others_crashed ? evidence_as_only_one : evidence_as_only_cause;
+}
+
+/// Of a worker that only an earlier leader heard it is known what was recorded
+/// of suspects.
+uint32_t weigh_unheard(const run_key& run, const job_book& book) {
+  const crash_record crash = book.crash_of(run.task);
+  if (crash.crashes == 0 || crash.listed >= run.run)
+    return evidence_once_listed;
+  return crash.ordered >= run.run ? evidence_in_company : 0;
+}
+
+std::vector<crash_finding> examine_unheard(const std::set<run_key>& runs,
+                                           const job_book& book) {
+  std::vector<crash_finding> out;
+  for (const run_key& run : runs) {
+    out.push_back({run, weigh_unheard(run, book), false});
+  }
+  return out;
+}
+
+}  // namespace detail
+
+bool is_harmless(const worker_view& it, const run_key& run,
+                 const fleet::step_spec& step) {
+  if (!it.rows.contains(run)) return false;
+  const auto sent = it.sent.find(run);
+  const time_point since = sent == it.sent.end() ? it.first_told : sent->second;
+  return it.told - since >=
+         (step.gang() ? harmless_gang_after : harmless_after);
+}
+
+std::vector<crash_finding> examine_crash(const worker_view& it,
+                                         const std::set<run_key>& runs,
+                                         const job_book& book,
+                                         bool others_crashed) {
+  if (!it.known) return detail::examine_unheard(runs, book);
+  std::vector<crash_finding> out;
+  std::vector<run_key> unlisted;
+  std::vector<run_key> young;
+  for (const run_key& run : runs) {
+    const fleet::step_spec* step = book.find_step(run.task);
+    if (step == nullptr || detail::lists_end(it, run)) continue;
+    if (is_harmless(it, run, *step)) {
+      out.push_back({run, 0, true});
+    } else if (it.rows.contains(run)) {
+      young.push_back(run);
+    } else if (it.sent.contains(run)) {
+      unlisted.push_back(run);
+    }
+  }
+  const bool listed = unlisted.empty();
+  std::vector<run_key> suspects = unlisted;
+  for (const run_key& run : young) {
+    if (listed || book.is_suspect(run.task)) suspects.push_back(run);
+  }
+  const uint32_t evidence = detail::weigh(suspects, book, others_crashed);
+  for (const run_key& run : suspects) {
+    const bool says_little = listed && book.crash_of(run.task).crashes == 0;
+    out.push_back({run, says_little ? evidence_once_listed : evidence, false});
+  }
+  return out;
+}
+
+}  // namespace kestrelreel
--- /dev/null
+++ b/fleet/crash-record-test.cc
@@ -0,0 +1,166 @@
+// The record of a task's crashes was lost with a snapshot or an older record.
+#include <CppUTest/TestHarness.h>
+
+#include "fleet/fleet-test-world.h"
+
+using namespace kestrelreel;
+
+TEST_GROUP(crash_record) {
+  job_book book;
+
+  void apply(const fleet::fleet_command& command) { book.apply(command); }
+  void prepare(bool gang = false, bool lasts = false) {
+    fleet::fleet_command config;
+    *config.mutable_config() = test_world::make_config(1);
+    apply(config);
+    fleet::fleet_command submit;
+    submit.mutable_submit()->set_job(7);
+    submit.mutable_submit()->set_queue("plans");
+    fleet::step_spec step = test_world::make_step(2);
+    step.set_gang(gang);
+    step.set_long_running(lasts);
+    *submit.mutable_submit()->add_steps() = step;
+    apply(submit);
+  }
+  static fleet::task_ref task(uint32_t index) {
+    return to_ref({job_number(7), 0, 0, index});
+  }
+  void start(uint32_t run, uint32_t index = 0) {
+    fleet::fleet_command command;
+    fleet::run_start& it = *command.mutable_starts()->add_starts();
+    *it.mutable_task() = task(index);
+    it.set_run(run);
+    it.set_worker("w" + std::to_string(run));
+    fleet::worker_place& place = *command.mutable_starts()->add_places();
+    place.set_worker(it.worker());
+    place.set_address(it.worker() + ":1");
+    apply(command);
+  }
+  void crash(uint32_t run, uint32_t evidence, bool survived = false) {
+    fleet::fleet_command command;
+    command.mutable_loss()->set_worker("w" + std::to_string(run));
+    command.mutable_loss()->set_gone(true);
+    fleet::run_loss& it = *command.mutable_loss()->add_runs();
+    *it.mutable_task() = task(0);
+    it.set_run(run);
+    it.set_crash_evidence(evidence);
+    it.set_survived(survived);
+    apply(command);
+  }
+  void end(uint32_t run, fleet::run_outcome outcome) {
+    fleet::fleet_command command;
+    command.mutable_report()->set_worker("w" + std::to_string(run));
+    fleet::run_end& it = *command.mutable_report()->add_ends();
+    it.set_number(1);
+    *it.mutable_task() = task(0);
+    it.set_run(run);
+    it.set_outcome(outcome);
+    apply(command);
+  }
+  fleet::job_phase phase() const { return book.find(job_number(7))->phase; }
+  uint32_t evidence() const {
+    return book.crash_of({job_number(7), 0, 0, 0}).evidence;
+  }
+};
+
+TEST(crash_record, is_the_same_after_a_save_and_a_load) {
+  prepare();
+  start(1);
+  crash(1, 4);
+  start(2);
+  fleet::fleet_command silent;
+  silent.mutable_loss()->set_worker("w2");
+  silent.mutable_loss()->set_silent(true);
+  *silent.mutable_loss()->add_runs()->mutable_task() = task(0);
+  silent.mutable_loss()->mutable_runs(0)->set_run(2);
+  apply(silent);
+  job_book other;
+  CHECK_TRUE(other.load(book.save()).ok());
+  CHECK_TRUE(other.save() == book.save());
+  CHECK_TRUE(other.suspects() == book.suspects());
+  LONGS_EQUAL(1, other.lapsed().size());
+  LONGS_EQUAL(1, other.places().size());
+  LONGS_EQUAL(4, other.crash_of({job_number(7), 0, 0, 0}).evidence);
+  book = std::move(other);
+  crash(2, 4);
+  LONGS_EQUAL(fleet::job_failed, phase());
+  CHECK_TRUE(book.suspects().empty());
+}
+
+TEST(crash_record, state_of_an_older_version_holds_nothing_against_any) {
+  prepare();
+  start(1);
+  crash(1, 4);
+  fleet::fleet_snapshot saved;
+  CHECK_TRUE(saved.ParseFromString(book.save()));
+  auto& old = *saved.mutable_jobs(0)->mutable_steps(0)->mutable_tasks(0);
+  old.clear_crashes();
+  old.clear_crash_evidence();
+  old.clear_crashed_run();
+  old.clear_ordered_run();
+  saved.clear_places();
+  CHECK_TRUE(book.load(saved.SerializeAsString()).ok());
+  CHECK_TRUE(book.suspects().empty());
+  start(2);
+  crash(2, 0);
+  LONGS_EQUAL(0, evidence());
+  start(3);
+  crash(3, 4);
+  LONGS_EQUAL(4, evidence());
+}
+
+TEST(crash_record, ends_clear_it_or_not) {
+  struct row {
+    const char* name;
+    fleet::run_outcome outcome;
+    bool gang;
+    uint32_t left;
+  };
+  const row rows[] = {
+      {"failed", fleet::run_failed, false, 0},
+      {"stopped", fleet::run_stopped, false, 0},
+      {"lapsed", fleet::run_lapsed, false, 0},
+      {"refused", fleet::run_refused, false, 4},
+      {"gang alone", fleet::run_alone, true, 4},
+      {"gang broken", fleet::run_broken, true, 4},
+      {"gang failed", fleet::run_failed, true, 0},
+  };
+  for (const row& it : rows) {
+    book = job_book();
+    prepare(it.gang);
+    start(1);
+    crash(1, 4);
+    start(2);
+    end(2, it.outcome);
+    LONGS_EQUAL_TEXT(it.left, evidence(), it.name);
+  }
+}
+
+TEST(crash_record, one_run_counts_once_and_a_later_end_goes_first) {
+  prepare();
+  start(1);
+  crash(1, 3);
+  crash(1, 3);
+  LONGS_EQUAL(3, evidence());
+  start(2);
+  crash(2, 0, true);
+  LONGS_EQUAL(0, evidence());
+  start(3);
+  end(3, fleet::run_done);
+  crash(3, 8);
+  LONGS_EQUAL(fleet::job_running, phase());
+}
+
+TEST(crash_record, lasting_task_has_a_budget_of_crashes_alone) {
+  prepare(false, true);
+  for (uint32_t run = 1; run <= 5; ++run) {
+    start(run);
+    end(run, fleet::run_failed);
+  }
+  LONGS_EQUAL(fleet::job_running, phase());
+  start(6);
+  crash(6, 4);
+  start(7);
+  crash(7, 4);
+  LONGS_EQUAL(fleet::job_failed, phase());
+}
--- a/fleet/crashing-test-world.h
+++ b/fleet/crashing-test-world.h
@@ -190,12 +190,23 @@
       if (now >= it.lease_until) {
         due.emplace_back(run, fleet::run_lapsed);
       } else if (!lasts && now - began >= work_time && !it.crashes_at) {
-        due.emplace_back(run, fleet::run_done);
+        due.emplace_back(
+            run, breaks(run.task) ? fleet::run_broken : fleet::run_done);
       }
     }
     for (const auto& [run, outcome] : due) end(it, run, outcome);
   }
 
+  /// True for a member of a gang of which another one crashes its worker.
+  bool breaks(task_key task) {
+    const fleet::step_spec* step = all.book().find_step(task);
+    if (step == nullptr || !step->gang()) return false;
+    for (task.index = 0; task.index < step->count(); ++task.index) {
+      if (crashes(task)) return true;
+    }
+    return false;
+  }
+
   static void end(worker_life& it, const run_key& run,
                   fleet::run_outcome outcome) {
     it.began.erase(run);
--- /dev/null
+++ b/fleet/innocent-crash-test.cc
@@ -0,0 +1,185 @@
+// A task that can be done was given up on, as workers crashed while it ran.
+#include <CppUTest/TestHarness.h>
+
+#include "fleet/crash-evidence.h"
+#include "fleet/crashing-test-world.h"
+
+using namespace kestrelreel;
+using crashing::crash_settings;
+using crashing::crash_world;
+using crashing::road;
+
+namespace {
+
+constexpr uint64_t first_job = 100;
+constexpr uint64_t serving_job = 5;
+constexpr milliseconds calm{30'000};
+constexpr milliseconds job_pause{300};
+
+/// What happens to the workers, once every few seconds.
+struct row {
+  const char* name;
+  crash_settings settings;
+  void (*strike)(crash_world&, uint64_t round);
+};
+
+void crash_every_third(crash_world& world, uint64_t round) {
+  for (size_t i = round % 3; i < world.size(); i += 3) {
+    if (world.up(i)) world.crash(i);
+  }
+}
+
+void crash_one(crash_world& world, uint64_t round) {
+  const size_t i = round % world.size();
+  if (world.up(i)) world.crash(i);
+}
+
+void cut_some(crash_world& world, uint64_t round) {
+  for (size_t i = round % 2; i < world.size(); i += 2) {
+    world.cut_off(i, milliseconds(round % 2 == 0 ? 5'000 : 900));
+  }
+}
+
+void freeze_some(crash_world& world, uint64_t round) {
+  for (size_t i = round % 2; i < world.size(); i += 2) {
+    world.freeze(i, milliseconds(2'500));
+  }
+}
+
+void drain_one_that_ends(crash_world& world, uint64_t round) {
+  const size_t i = round % world.size();
+  if (!world.up(i)) return;
+  world.drain(i, 1'000);
+  world.play(milliseconds(1'000));
+  world.crash(i);
+}
+
+std::vector<row> rows() {
+  crash_settings plain;
+  crash_settings relayed;
+  relayed.calls_by = road::intake;
+  crash_settings reborn;
+  reborn.keeps_id = true;
+  crash_settings late;
+  late.returns_after = milliseconds(9'000);
+  crash_settings led_anew;
+  led_anew.leader_changes_after = milliseconds(700);
+  return {
+      {"a third crashes", plain, crash_every_third},
+      {"a third crashes, relayed", relayed, crash_every_third},
+      {"a third crashes, under their ids", reborn, crash_every_third},
+      {"a third crashes and is back late", late, crash_every_third},
+      {"a third crashes, then the leader changes", led_anew, crash_every_third},
+      {"one crashes", plain, crash_one},
+      {"cut off", plain, cut_some},
+      {"cut off, relayed", relayed, cut_some},
+      {"frozen", plain, freeze_some},
+      {"drained", plain, drain_one_that_ends}};
+}
+
+}  // namespace
+
+TEST_GROUP(innocent_crash){};
+
+TEST(innocent_crash, no_job_that_can_be_done_fails) {
+  constexpr uint64_t rounds = 12;
+  constexpr uint64_t jobs_a_round = 14;
+  for (const row& it : rows()) {
+    crash_world world(it.settings);
+    world.submit(serving_job, {crash_world::make_step(6, true)});
+    uint64_t job = first_job;
+    for (uint64_t n = 0; n < rounds; ++n) {
+      for (uint64_t i = 0; i < jobs_a_round; ++i) {
+        world.submit(job++, {crash_world::make_step(2)});
+        world.play(job_pause);
+      }
+      it.strike(world, n);
+    }
+    world.play(calm);
+    for (uint64_t n = first_job; n < job; ++n) {
+      LONGS_EQUAL_TEXT(fleet::job_succeeded, world.phase_of(n), it.name);
+    }
+    LONGS_EQUAL_TEXT(fleet::job_running, world.phase_of(serving_job), it.name);
+    LONGS_EQUAL_TEXT(6, world.runs_of(serving_job), it.name);
+    CHECK_TRUE_TEXT(world.all.book().suspects().empty(), it.name);
+  }
+}
+
+// Its record counts no crash, whatever happens to its calls.
+TEST(innocent_crash, silence_is_no_crash) {
+  for (const row& it : rows()) {
+    const bool crashes =
+        it.strike == crash_every_third || it.strike == crash_one;
+    if (crashes) continue;
+    crash_world world(it.settings);
+    world.submit(serving_job, {crash_world::make_step(6, true)});
+    for (uint64_t n = 0; n < 8; ++n) {
+      world.submit(first_job + n, {crash_world::make_step(8)});
+      world.play(milliseconds(100));
+      it.strike(world, n);
+      for (int i = 0; i < 60; ++i) {
+        world.play(milliseconds(100));
+        CHECK_TRUE_TEXT(world.all.book().suspects().empty(), it.name);
+      }
+    }
+  }
+}
+
+namespace {
+
+/// How the crash of one worker, with runs of two jobs, is weighed.
+struct weighing {
+  const char* name;
+  bool a_listed;
+  int64_t a_age_ms;
+  bool b_listed;
+  int64_t b_age_ms;
+  bool others;
+  uint32_t against_a;
+  uint32_t against_b;
+};
+
+const weighing weighings[] = {
+    {"both just started", false, 0, false, 0, false, evidence_in_company,
+     evidence_in_company},
+    {"one just started", false, 0, true, 400, false, evidence_as_only_cause, 0},
+    {"one just started, others crash", false, 0, true, 400, true,
+     evidence_as_only_one, 0},
+    {"one just started, one listed once", false, 0, true, 200, false,
+     evidence_as_only_cause, 0},
+    {"both listed once", true, 200, true, 200, false, evidence_once_listed,
+     evidence_once_listed},
+    {"both worked", true, 400, true, 5'000, false, 0, 0},
+};
+
+}  // namespace
+
+TEST(innocent_crash, evidence_is_against_what_may_have_done_it) {
+  constexpr uint64_t a = 7, b = 8;
+  for (const weighing& it : weighings) {
+    test_world world;
+    world.configure();
+    world.submit(a, {test_world::make_step(1)});
+    world.submit(b, {test_world::make_step(1)});
+    worker_view view;
+    view.known = true;
+    view.told = milliseconds(90'000);
+    std::set<run_key> runs;
+    const auto add = [&](uint64_t job, bool listed, int64_t age_ms) {
+      const run_key run{{job_number(job), 0, 0, 0}, run_number(1)};
+      runs.insert(run);
+      view.sent[run] = view.told - milliseconds(age_ms);
+      if (listed) view.rows[run] = fleet::running_row();
+      return run;
+    };
+    const run_key run_a = add(a, it.a_listed, it.a_age_ms);
+    const run_key run_b = add(b, it.b_listed, it.b_age_ms);
+    std::map<run_key, uint32_t> against;
+    for (const crash_finding& found :
+         examine_crash(view, runs, world.controller.book(), it.others)) {
+      against[found.run] = found.evidence;
+    }
+    LONGS_EQUAL_TEXT(it.against_a, against[run_a], it.name);
+    LONGS_EQUAL_TEXT(it.against_b, against[run_b], it.name);
+  }
+}
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -24,6 +24,32 @@
     task.set_phase(static_cast<uint32_t>(it.phase));
     task.set_worker(it.worker.str());
     task.set_saved(it.saved);
+    task.set_crashes(it.crash.crashes);
+    task.set_crash_evidence(it.crash.evidence);
+    task.set_crashed_run(static_cast<uint32_t>(it.crash.run.value()));
+    task.set_ordered_run(static_cast<uint32_t>(it.crash.ordered.value()));
+    task.set_listed_run(static_cast<uint32_t>(it.crash.listed.value()));
+  }
+}
+
+using saved_runs = google::protobuf::RepeatedPtrField<fleet::run_start>;
+using runs_by_worker = std::map<worker_id, std::set<run_key>>;
+
+void save_runs(const runs_by_worker& from, saved_runs& out) {
+  for (const auto& [worker, runs] : from) {
+    for (const run_key& it : runs) {
+      fleet::run_start& run = *out.Add();
+      *run.mutable_task() = to_ref(it.task);
+      run.set_run(static_cast<uint32_t>(it.run.value()));
+      run.set_worker(worker.str());
+    }
+  }
+}
+
+void load_runs(const saved_runs& from, runs_by_worker& out) {
+  for (const fleet::run_start& it : from) {
+    out[worker_id(it.worker())].insert(
+        {to_key(it.task()), run_number(it.run())});
   }
 }
 
@@ -39,6 +65,11 @@
   task.failures = from.failures();
   task.worker = worker_id(from.worker());
   task.saved = from.saved();
+  task.crash.crashes = from.crashes();
+  task.crash.evidence = from.crash_evidence();
+  task.crash.run = run_number(from.crashed_run());
+  task.crash.ordered = run_number(from.ordered_run());
+  task.crash.listed = run_number(from.listed_run());
   if (task.phase == task_phase::done) ++step.done;
   if (task.phase == task_phase::running) ++step.running;
 }
@@ -89,17 +120,12 @@
     it.set_left(true);
   }
   // Runs of jobs that are over are alive until their workers list the end.
-  for (const auto& [worker, runs] : runs_) {
-    for (const run_key& it : runs) {
-      fleet::run_start& run = *out.add_alive();
-      *run.mutable_task() = to_ref(it.task);
-      run.set_run(static_cast<uint32_t>(it.run.value()));
-      run.set_worker(worker.str());
-    }
-  }
+  detail::save_runs(runs_, *out.mutable_alive());
+  detail::save_runs(lapsed_, *out.mutable_lapsed());
   for (const job_number it : cancelled_early_) {
     out.add_cancelled_early(it.value());
   }
+  for (const auto& [worker, place] : places_) *out.add_places() = place;
   evacuations_.save(out);
   out.set_next_order(next_order_);
   return out.SerializeAsString();
@@ -132,6 +158,9 @@
         return detail::corrupt(number, "a task that it does not have");
       }
       detail::load_task(from, step);
+      if (from.crashes() > 0) {
+        suspects_.insert({number, saved.time(), saved.step(), from.index()});
+      }
     }
   }
   return absl::OkStatus();
@@ -148,13 +177,14 @@
     if (it.left()) left_.insert(worker);
     if (it.last_end() > 0 || !it.left()) last_ends_[worker] = it.last_end();
   }
-  for (const fleet::run_start& it : in.alive()) {
-    runs_[worker_id(it.worker())].insert(
-        {to_key(it.task()), run_number(it.run())});
-  }
+  detail::load_runs(in.alive(), runs_);
+  detail::load_runs(in.lapsed(), lapsed_);
   for (const uint64_t it : in.cancelled_early()) {
     cancelled_early_.insert(job_number(it));
   }
+  for (const fleet::worker_place& it : in.places()) {
+    places_[worker_id(it.worker())] = it;
+  }
   evacuations_.load(in);
   next_order_ = in.next_order();
   return absl::OkStatus();
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -4,6 +4,17 @@
 #include <utility>
 
 namespace kestrelreel {
+namespace detail {
+
+/// True when a run that ended so had worked on a worker that lives on. Members
+/// of a gang that wait for the others have not.
+bool shows_no_crash(fleet::run_outcome outcome, const fleet::step_spec* step) {
+  if (outcome == fleet::run_refused) return false;
+  const bool gang = step != nullptr && step->gang();
+  return !gang || outcome == fleet::run_done || outcome == fleet::run_failed;
+}
+
+}  // namespace detail
 
 const job_entry* job_book::find(job_number job) const {
   const auto it = jobs_.find(job);
@@ -156,6 +167,9 @@
 }
 
 job_book::result job_book::start(const fleet::run_starts& starts) {
+  for (const fleet::worker_place& it : starts.places()) {
+    places_[worker_id(it.worker())] = it;
+  }
   for (const fleet::run_start& it : starts.starts()) start_one(it);
   return {};
 }
@@ -171,6 +185,7 @@
   task->phase = task_phase::running;
   task->run = run.run;
   task->worker = worker_id(it.worker());
+  lapsed_.erase(task->worker);
   ++job.times[run.task.time][run.task.step].running;
   job.begun = true;
   job.phase = fleet::job_running;
@@ -179,6 +194,7 @@
 
 job_book::result job_book::report(const fleet::worker_report& report) {
   const worker_id worker(report.worker());
+  lapsed_.erase(worker);
   uint64_t& last = last_ends_[worker];
   result out;
   for (const fleet::run_end& it : report.ends()) {
@@ -191,7 +207,10 @@
       out.uncounted.push_back({run, it.outcome(), task->run});
     }
     close(worker, run, it.outcome(), it.saved());
+    if (detail::shows_no_crash(it.outcome(), find_step(run.task)))
+      clear_crashes(run);
   }
+  for (const auto& it : report.sightings()) note_sighting(it);
   return out;
 }
 
@@ -244,9 +263,63 @@
   if (task.phase == task_phase::done) return;
   if (task.phase == task_phase::running) --step.running;
   task.phase = task_phase::done;
+  task.crash = {};
   ++step.done;
 }
 
+/// The task that keeps the record of crashes.
+task_key job_book::record_key(const task_key& task) const {
+  const fleet::step_spec* step = find_step(task);
+  const bool gang = step != nullptr && step->gang();
+  return gang ? task_key{task.job, task.time, task.step, 0} : task;
+}
+
+crash_record job_book::crash_of(const task_key& task) const {
+  if (suspects_.empty()) return {};
+  const task_entry* it = find(record_key(task));
+  return it == nullptr ? crash_record() : it->crash;
+}
+
+bool job_book::is_suspect(const task_key& task) const {
+  return crash_of(task).evidence >= crash_suspicion;
+}
+
+void job_book::note_sighting(const fleet::run_sighting& it) {
+  const run_key run{to_key(it.task()), run_number(it.run())};
+  if (it.progress() == fleet::run_harmless) return clear_crashes(run);
+  task_entry* task = find_task(record_key(run.task));
+  if (task == nullptr || task->crash.crashes == 0) return;
+  crash_record& crash = task->crash;
+  crash.ordered = std::max(crash.ordered, run.run);
+  if (it.progress() == fleet::run_listed) {
+    crash.listed = std::max(crash.listed, run.run);
+  }
+}
+
+void job_book::clear_crashes(const run_key& run) {
+  const task_key key = record_key(run.task);
+  task_entry* task = find_task(key);
+  if (task == nullptr || run.run <= task->crash.run) return;
+  task->crash = {};
+  suspects_.erase(key);
+}
+
+/// A crash may be known only after the run was given up on and another began.
+void job_book::count_crash(const run_key& run, uint32_t evidence, result& out) {
+  const task_key key = record_key(run.task);
+  task_entry* task = find_task(key);
+  if (task == nullptr || task->phase == task_phase::done) return;
+  crash_record& crash = task->crash;
+  if (run.run <= crash.run || run.run > task->run) return;
+  ++crash.crashes;
+  crash.evidence += evidence;
+  crash.run = run.run;
+  suspects_.insert(key);
+  if (crash.evidence < crash_evidence_limit) return;
+  out.crashing.push_back({run.task, crash});
+  finish(jobs_.at(key.job), fleet::job_failed);
+}
+
 void job_book::count_failure(job_entry& job, step_entry& step, task_entry& task,
                              const fleet::step_spec& spec) {
   if (spec.long_running()) return;
@@ -270,6 +343,10 @@
   if (!job.live()) return;
   job.phase = phase;
   live_.erase(job.order);
+  const job_number number(job.spec.job());
+  suspects_.erase(
+      suspects_.lower_bound({number, 0, 0, 0}),
+      suspects_.upper_bound({number, UINT32_MAX, UINT32_MAX, UINT32_MAX}));
   job.times.clear();
   job.times.shrink_to_fit();
   job.spec.clear_text();
@@ -277,16 +354,22 @@
 
 job_book::result job_book::lose(const fleet::worker_loss& loss) {
   const worker_id worker(loss.worker());
+  result out;
   for (const fleet::run_loss& it : loss.runs()) {
-    close(worker, {to_key(it.task()), run_number(it.run())}, fleet::run_lapsed,
-          it.saved());
+    const run_key run{to_key(it.task()), run_number(it.run())};
+    close(worker, run, fleet::run_lapsed, it.saved());
+    if (loss.silent()) lapsed_[worker].insert(run);
+    if (it.survived()) clear_crashes(run);
+    if (it.crash_evidence() > 0) count_crash(run, it.crash_evidence(), out);
   }
-  if (!loss.gone()) return {};
+  if (!loss.gone()) return out;
   const std::set<run_key> rest = runs_on(worker);
   for (const run_key& it : rest) close(worker, it, fleet::run_lapsed, "");
   last_ends_.erase(worker);
   left_.erase(worker);
-  return {};
+  places_.erase(worker);
+  lapsed_.erase(worker);
+  return out;
 }
 
 /// Its runs stay: their ends may be on their way by a slower road.
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -19,6 +19,17 @@
 /// What a task is doing, as far as it was recorded.
 enum class task_phase : uint8_t { waiting = 0, running = 1, done = 2 };
 
+/// What the crashes of workers say against a task.
+struct crash_record {
+  uint32_t crashes = 0;
+  uint32_t evidence = 0;
+  /// The last run that was counted, and the last one since that was ordered,
+  /// and that its worker listed.
+  run_number run;
+  run_number ordered;
+  run_number listed;
+};
+
 /// One task of one time of a step.
 struct task_entry {
   task_phase phase = task_phase::waiting;
@@ -28,6 +39,9 @@
   worker_id worker;
   /// The newest checkpoint that was recorded; empty without one.
   std::string saved;
+  /// Of all runs since one that did not end with a crash of its worker. A gang
+  /// starts and ends as one: its first task keeps the record.
+  crash_record crash;
 };
 
 /// One time of a step.
@@ -57,6 +71,11 @@
   }
 };
 
+/// With so much evidence a task is taken to crash each worker that starts it,
+/// and with less it is tried apart from others.
+constexpr uint32_t crash_evidence_limit = 8;
+constexpr uint32_t crash_suspicion = 2;
+
 /// The state. Only `apply` and `load` change it.
 class job_book {
  public:
@@ -66,11 +85,17 @@
     fleet::run_outcome outcome;
     run_number present;
   };
+  /// A task that crashed workers and failed its job by that.
+  struct given_up {
+    task_key task;
+    crash_record crash;
+  };
   /// What an applied command came to.
   struct result {
     fleet::fleet_status status = fleet::fleet_ok;
     std::string reason;
     std::vector<uncounted_end> uncounted{};
+    std::vector<given_up> crashing{};
   };
 
   result apply(const fleet::fleet_command& command);
@@ -109,6 +134,23 @@
   const std::set<worker_id>& left() const { return left_; }
   /// Data centres in which nothing is to be started.
   const evacuations& evacuated() const { return evacuations_; }
+  /// Tasks, and gangs by their first task, under which a worker crashed, and
+  /// that have not worked since.
+  const std::set<task_key>& suspects() const { return suspects_; }
+  /// True where that is enough to keep the task apart from others.
+  bool is_suspect(const task_key& task) const;
+  /// What is held against the task, or its gang.
+  crash_record crash_of(const task_key& task) const;
+  /// Runs that were given up on as their worker fell silent, and since which
+  /// nothing was heard of it.
+  const std::map<worker_id, std::set<run_key>>& lapsed() const {
+    return lapsed_;
+  }
+  /// Where the lives of workers run that ever got a start, unless they are
+  /// over.
+  const std::map<worker_id, fleet::worker_place>& places() const {
+    return places_;
+  }
 
   /// True when all steps that `step` depends on are done in that time.
   bool step_is_due(const job_entry& job, uint32_t time, uint32_t step) const;
@@ -133,6 +175,10 @@
                      const fleet::step_spec& spec);
   static void save_gang(step_entry& step, run_number run,
                         const std::string& saved);
+  task_key record_key(const task_key& task) const;
+  void clear_crashes(const run_key& run);
+  void note_sighting(const fleet::run_sighting& it);
+  void count_crash(const run_key& run, uint32_t evidence, result& out);
   void finish(job_entry& job, fleet::job_phase phase);
   void finish_if_done(job_entry& job);
   void put_job(job_entry job);
@@ -148,6 +194,9 @@
   std::map<worker_id, std::set<run_key>> runs_;
   std::map<worker_id, uint64_t> last_ends_;
   std::set<worker_id> left_;
+  std::map<worker_id, fleet::worker_place> places_;
+  std::map<worker_id, std::set<run_key>> lapsed_;
+  std::set<task_key> suspects_;
   evacuations evacuations_;
   uint64_t next_order_ = 1;
 };
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -1,7 +1,6 @@
 #include "fleet/scheduler.h"
 
 #include <algorithm>
-#include <queue>
 #include <utility>
 
 namespace kestrelreel {
@@ -163,6 +162,7 @@
   for (const auto& [id, it] : workers_.views()) {
     for (const auto& [run, step] : it.proposed) proposed_[run.task] = id;
   }
+  note_tries();
   fleet::run_starts out;
   freed_ = take_freed();
   uses_.clear();
@@ -185,8 +185,11 @@
                                                          bool starved) {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
   const fleet::queue_route& queue = book_.queue_of(job);
-  return {spec,    queue.pool(),    first, model_.id_of(spec.image()),
-          starved, queue.priority()};
+  const auto& tasks = job.times[first.time][first.step].tasks;
+  const bool interrupted =
+      std::any_of(tasks.begin(), tasks.end(), is_interrupted);
+  return {spec,    queue.pool(),     first,      model_.id_of(spec.image()),
+          starved, queue.priority(), interrupted};
 }
 
 void fleet_scheduler::plan_job(const waiting_job& job,
@@ -220,18 +223,8 @@
   return turns;
 }
 
-/// The tasks of a step are alike: each worker is looked at once, and again
-/// when it got one of them.
-std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
-    const waiting_job& job, const step_to_place& step,
-    std::vector<worker_view*>& all) {
-  const step_entry& entry = job.entry->times[step.first.time][step.first.step];
-  run_number gang_run;
-  for (const task_entry& it : entry.tasks) {
-    gang_run = std::max(gang_run, it.run);
-  }
-  // Of two alike the first is taken.
-  using ranked = std::pair<double, std::ptrdiff_t>;
+fleet_scheduler::ranking fleet_scheduler::rank(
+    const step_to_place& step, const std::vector<worker_view*>& all) {
   std::vector<ranked> values;
   values.reserve(all.size());
   count_looks(all.size());
@@ -239,28 +232,62 @@
     const auto value = value_of(step, *all[i]);
     if (value) values.emplace_back(*value, -static_cast<std::ptrdiff_t>(i));
   }
-  std::priority_queue<ranked> best(std::less<ranked>(), std::move(values));
+  return ranking(std::less<ranked>(), std::move(values));
+}
+
+/// Takes the best one out; it is to be ranked again once it got a task.
+std::optional<size_t> fleet_scheduler::take_best(
+    ranking& best, const step_to_place& step,
+    const std::vector<worker_view*>& all) {
+  while (!best.empty()) {
+    const auto at = static_cast<size_t>(-best.top().second);
+    best.pop();
+    if (!is_trying(*all[at], step)) return at;
+  }
+  return std::nullopt;
+}
+
+run_number fleet_scheduler::last_run(const step_entry& step) {
+  run_number last;
+  for (const task_entry& it : step.tasks) last = std::max(last, it.run);
+  return last;
+}
+
+/// The tasks of a step are alike: each worker is looked at once, and again
+/// when it got one of them.
+std::vector<fleet_scheduler::placement> fleet_scheduler::place_tasks(
+    const waiting_job& job, const step_to_place& step,
+    std::vector<worker_view*>& all) {
+  const step_entry& entry = job.entry->times[step.first.time][step.first.step];
+  const run_number gang_run = last_run(entry);
+  ranking best = rank(step, all);
   std::vector<placement> placed;
   const bool lasts = step.spec.long_running();
   uint64_t fresh_room =
       lasts ? room_for_fresh(step.pool, step.priority, plan_of(job.number)) : 0;
   for (const uint32_t i : turns_of(entry)) {
-    if (best.empty()) break;
     const task_entry& task = entry.tasks[i];
     const bool fresh = lasts && !is_interrupted(task);
     if (fresh && fresh_room < step.spec.cpu_milli()) break;
     const task_key key{job.number, step.first.time, step.first.step, i};
     if (is_proposed(key)) continue;
-    const std::ptrdiff_t at = best.top().second;
-    worker_view& where = *all[static_cast<size_t>(-at)];
-    best.pop();
+    const bool suspect = book_.is_suspect(key);
+    if (suspect && awaits_fate(key, task)) continue;
+    const std::optional<size_t> at =
+        suspect ? place_for_suspect(step, all) : take_best(best, step, all);
+    if (!at && suspect) continue;
+    if (!at) break;
+    worker_view& where = *all[*at];
+    if (suspect) note_try(where.id, key);
     where.load.add(key, step.spec, step.image);
     if (lasts) {
       release_room(where, step.first);
       use_of(step.pool).lasting += step.spec.cpu_milli();
       fresh_room -= std::min(fresh_room, step.spec.cpu_milli());
     }
-    if (const auto value = value_of(step, where)) best.emplace(*value, at);
+    if (const auto value = value_of(step, where)) {
+      best.emplace(*value, -static_cast<std::ptrdiff_t>(*at));
+    }
     const run_number run = step.spec.gang() ? gang_run : task.run;
     placed.push_back({key, run.next(), &where});
     if (job.starved && step.spec.fills() && !step.spec.gang()) break;
@@ -329,7 +356,10 @@
            taken.accelerators <= room.accelerators() &&
            (spec.fills() || taken.cpu <= room.cpu_milli());
   };
-  if (!has_room()) return false;
+  if (!has_room() || is_trying(it, step)) return false;
+  // A task that crashed the life before would crash this one, before it shows
+  // that the other is over.
+  if (step.interrupted && workers_.is_unsettled(it)) return false;
   for (const kept_room& kept : it.kept) {
     if (kept.step == step.first || !binds(kept, step.priority)) continue;
     taken.add({kept.cpu, kept.memory_mb, kept.accelerators});
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <queue>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -152,6 +153,8 @@
     image_id image;
     bool starved;
     uint32_t priority;
+    // A task of it that waits had begun before.
+    bool interrupted;
   };
   struct serving_task {
     run_key run;
@@ -301,7 +304,23 @@
   std::vector<placement> place_tasks(const waiting_job& job,
                                      const step_to_place& step,
                                      std::vector<worker_view*>& all);
+  /// Workers by how well a task would stand there; of two alike the first.
+  using ranked = std::pair<double, std::ptrdiff_t>;
+  using ranking = std::priority_queue<ranked>;
+  ranking rank(const step_to_place& step, const std::vector<worker_view*>& all);
+  static std::optional<size_t> take_best(ranking& best,
+                                         const step_to_place& step,
+                                         const std::vector<worker_view*>& all);
+  static run_number last_run(const step_entry& step);
   static std::vector<uint32_t> turns_of(const step_entry& step);
+  // Tasks under which a worker crashed: suspects.cc.
+  bool has_unproven(const worker_view& it) const;
+  void note_tries();
+  void note_try(const worker_id& id, const task_key& task);
+  bool awaits_fate(const task_key& key, const task_entry& task) const;
+  static bool is_trying(const worker_view& it, const step_to_place& step);
+  std::optional<size_t> place_for_suspect(const step_to_place& step,
+                                          const std::vector<worker_view*>& all);
   pool_use& use_of(const std::string& pool);
   uint64_t room_for_fresh(const std::string& pool, uint32_t priority,
                           const job_plan& plan);
@@ -409,6 +428,8 @@
   unsigned stretch_percent_ = 100;
   // Tasks whose start is proposed and not yet in the book.
   std::map<task_key, worker_id> proposed_;
+  // Workers on which suspects are being tried.
+  std::vector<worker_id> trying_;
   time_point waits_reported_at_{};
   time_point rooms_kept_at_{};
   // The time of day, and when it was told.
--- /dev/null
+++ b/fleet/suspects.cc
@@ -0,0 +1,102 @@
+// Tasks under which a worker crashed: each is tried on a worker by itself, so
+// that the next crash tells which of them did it, and harms little else.
+#include <algorithm>
+
+#include "fleet/crash-evidence.h"
+#include "fleet/scheduler.h"
+
+namespace kestrelreel {
+namespace detail {
+
+/// A task that has just started there would be a suspect beside it: above all
+/// but a task's data.
+constexpr double unproven_cost = 600'000;
+/// What runs there would be lost with a crash: above any room that is left
+/// over.
+constexpr double company_cost = 20'000;
+/// How long a suspect waits after its lease to know how its worker ended.
+constexpr milliseconds fate_wait{1'500};
+
+}  // namespace detail
+
+/// True when a run there may still turn out to crash the worker.
+bool fleet_scheduler::has_unproven(const worker_view& it) const {
+  if (!it.proposed.empty()) return true;
+  const auto& runs = book_.runs_on(it.id);
+  return std::any_of(runs.begin(), runs.end(), [&](const run_key& run) {
+    const fleet::step_spec* step = book_.find_step(run.task);
+    return step != nullptr && !is_harmless(it, run, *step);
+  });
+}
+
+/// Notes the workers on which a suspect was started and is not listed yet.
+void fleet_scheduler::note_tries() {
+  for (const worker_id& id : trying_) {
+    if (worker_view* it = workers_.find(id)) it->tries.reset();
+  }
+  trying_.clear();
+  for (const task_key& suspect : book_.suspects()) {
+    const fleet::step_spec* step = book_.find_step(suspect);
+    if (step == nullptr) continue;
+    const auto& tasks =
+        book_.find(suspect.job)->times[suspect.time][suspect.step].tasks;
+    const uint32_t end = step->gang() ? step->count() : suspect.index + 1;
+    for (uint32_t i = suspect.index; i < end; ++i) {
+      task_key task = suspect;
+      task.index = i;
+      const auto proposed = proposed_.find(task);
+      if (proposed != proposed_.end()) {
+        note_try(proposed->second, task);
+      } else if (tasks[i].phase == task_phase::running) {
+        worker_view* it = workers_.find(tasks[i].worker);
+        const run_key run{task, tasks[i].run};
+        if (it != nullptr && !it->rows.contains(run)) note_try(it->id, task);
+      }
+    }
+  }
+}
+
+void fleet_scheduler::note_try(const worker_id& id, const task_key& task) {
+  worker_view* it = workers_.find(id);
+  if (it == nullptr) return;
+  it->tries = {task.job, task.time, task.step, 0};
+  trying_.push_back(id);
+}
+
+/// True while the suspect's last worker is silent and may just be about to show
+/// that it crashed: another crash might be enough.
+bool fleet_scheduler::awaits_fate(const task_key& key,
+                                  const task_entry& task) const {
+  const worker_view* it = workers_.find(task.worker);
+  return it != nullptr && it->lapsed.contains({key, task.run}) &&
+         clock_.now() < it->over_at + detail::fate_wait;
+}
+
+/// True where a suspect is being tried, unless both are of one gang.
+bool fleet_scheduler::is_trying(const worker_view& it,
+                                const step_to_place& step) {
+  return it.tries && !(step.spec.gang() && *it.tries == step.first);
+}
+
+/// Which of the workers is the best one for a suspect, if any is.
+std::optional<size_t> fleet_scheduler::place_for_suspect(
+    const step_to_place& step, const std::vector<worker_view*>& all) {
+  std::optional<size_t> best;
+  double most = 0;
+  count_looks(all.size());
+  for (size_t i = 0; i < all.size(); ++i) {
+    const worker_view& it = *all[i];
+    auto value = value_of(step, it);
+    if (!value) continue;
+    if (has_unproven(it) && it.tries != step.first) {
+      *value -= detail::unproven_cost;
+    }
+    *value -= detail::company_cost * static_cast<double>(it.rows.size());
+    if (best && *value <= most) continue;
+    best = i;
+    most = *value;
+  }
+  return best;
+}
+
+}  // namespace kestrelreel
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -118,6 +118,22 @@
   return it;
 }
 
+std::optional<worker_id> worker_table::life_before(
+    const worker_view& it) const {
+  const auto same = [](const std::string& a, const std::string& b) {
+    return !a.empty() && a == b;
+  };
+  for (const auto& [id, o] : views_) {
+    if (id == it.id || o.told >= it.first_told) continue;
+    if (same(o.beat.address(), it.beat.address()) ||
+        same(o.beat.machine(), it.beat.machine()) ||
+        name_of(id) == name_of(it.id)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 worker_view* worker_table::find(const worker_id& id) {
   const auto it = views_.find(id);
   return it == views_.end() ? nullptr : &it->second;
@@ -205,8 +221,10 @@
   if (!it.known) {
     it.first_told = now;
     it.first_clock_ms = beat.clock_ms();
+    it.follows = life_before(it);
   }
   it.told = now;
+  it.lapsed.clear();
   if (timely) it.heard = now;
   it.known = true;
   it.doubtful = false;
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -89,6 +89,8 @@
   bool vacated = false;
   /// That its life is over is proposed: nothing more of it is taken in.
   bool over = false;
+  /// The life that was at its place when it first called.
+  std::optional<worker_id> follows;
   /// Another life of its worker called since: it gets no new work meanwhile.
   bool doubtful = false;
   /// What runs there by the last heartbeat.
@@ -97,6 +99,9 @@
   std::map<run_key, time_point> sent;
   /// Since when the log has starts that were sent in no answer yet.
   std::map<run_key, time_point> unsent;
+  /// Runs that were given up on since its last heartbeat, as their lease was
+  /// over: it may still show that it crashed.
+  std::set<run_key> lapsed;
   /// When such starts were last taken back: it gets no work until it calls.
   time_point taken_back_at{};
   /// The last end that was proposed to the log.
@@ -111,6 +116,9 @@
   bool load_is_old = true;
   /// Runs there ended since waiting tasks were last placed.
   bool freed = true;
+  /// The step of a suspect task that was started here and is not listed yet:
+  /// nothing else is started meanwhile.
+  std::optional<task_key> tries;
   /// Room kept here; it is gone with the worker and with the leadership.
   std::vector<kept_room> kept;
   /// The share that each fill task may work at, in percent, and what it was
@@ -156,6 +164,12 @@
     views_.clear();
     shared_names_.clear();
   }
+  /// True for a life that began to call just now at the place of another one:
+  /// whether that one crashed will be known in a moment.
+  bool is_unsettled(const worker_view& it) const {
+    return it.follows && views_.contains(*it.follows) &&
+           clock_.now() - it.first_told < sure_life + leases_.slack;
+  }
   /// A worker that an earlier leader may have granted time just now.
   worker_view& expect(const worker_id& id);
   /// What a heartbeat came to.
@@ -205,6 +219,7 @@
   static void take_whole(worker_view& it, const fleet::worker_beat& beat);
   static bool take_difference(worker_view& it, const fleet::worker_beat& beat);
   worker_view& view_of(const worker_id& id);
+  std::optional<worker_id> life_before(const worker_view& it) const;
   const worker_view* later_life(const worker_id& id);
   void review_doubts(const std::string& name);
   void drop_old_lives();
