A run is taken for never begun by heartbeats that were sent late enough, not read

What callers would see: a task ends well and starts again (TWICE). The same rule decides on runs that are moved. It now counts by the time of sending. fleet-test failed in one of 82 tests before, passes after; shrinking-room, crashing-task and innocent-crash pass.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -282,7 +282,8 @@
     const auto sent = it.sent.find(run);
     const time_point last = std::max(
         led_since_, sent == it.sent.end() ? time_point{} : sent->second);
-    if (it.heard - last > sure) over.push_back(run);
+    // What a heartbeat that was held up does not list may have begun since.
+    if (it.heard - it.delay - last > sure) over.push_back(run);
   }
   if (!over.empty()) propose_loss(it, over, loss_cause::lease);
 }
