A worker that refuses its starts is left alone

What callers would see: a task that waits while one worker refuses it with each heartbeat, and refused starts are charged. Same class as the crashing tasks: a repeat without a budget; ends `refused` counted against nobody.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -155,6 +155,7 @@
     note_end(it, end);
   }
   if (report.ends_size() == 0) return;
+  note_refusals(it, report);
   const bool rare = is_near_end(it) || !timely;
   log_event(detail::service_name, detail::level_of(rare), "ends-listed")
       .with("worker", it.id.str())
@@ -171,7 +172,7 @@
   ++metrics_.counter("kestrelreel_run_ends_total",
                      {{"outcome", fleet::run_outcome_Name(end.outcome())}});
   if (end.outcome() == fleet::run_done) {
-    it.failures = it.failed_jobs = it.avoided_times = 0;
+    it.failures = it.failed_jobs = it.refusals = it.avoided_times = 0;
     return;
   }
   log_event(detail::service_name, log_level::info, "run-ended")
@@ -187,13 +188,29 @@
   const bool bad =
       it.failures >= settings_.scheduling.avoid_after && it.failed_jobs >= 2;
   if (!bad) return;
+  it.failures = it.failed_jobs = 0;
+  avoid(it, "fails what it starts");
+}
+
+/// What one heartbeat refuses may not have fitted a room that has shrunk since.
+void fleet_controller::note_refusals(worker_view& it,
+                                     const fleet::worker_report& report) {
+  const auto& ends = report.ends();
+  const bool refused = std::any_of(ends.begin(), ends.end(), [](auto& end) {
+    return end.outcome() == fleet::run_refused;
+  });
+  if (!refused || ++it.refusals < settings_.scheduling.avoid_after) return;
+  it.refusals = 0;
+  avoid(it, "refuses what it is given");
+}
+
+void fleet_controller::avoid(worker_view& it, const char* cause) {
   const unsigned doublings = std::min(it.avoided_times, detail::most_doublings);
   it.avoided_until = clock_.now() + detail::first_avoidance * (1U << doublings);
   ++it.avoided_times;
-  it.failures = it.failed_jobs = 0;
   log_event(detail::service_name, log_level::warn, "worker-avoided")
       .with("worker", it.id.str())
-      .with("cause", "fails what it starts")
+      .with("cause", cause)
       .with("for-ms", (it.avoided_until - clock_.now()).count());
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -172,6 +172,8 @@
   bool is_near_end(const worker_view& it) const;
   void take_ends(worker_view& it, bool timely);
   void note_end(worker_view& it, const fleet::run_end& end);
+  void note_refusals(worker_view& it, const fleet::worker_report& report);
+  void avoid(worker_view& it, const char* cause);
   void pace_if_due(worker_view& it);
   void move_held();
   void make_room();
--- /dev/null
+++ b/fleet/refusing-worker-test.cc
@@ -0,0 +1,63 @@
+// A worker that refuses each start was given another with each heartbeat.
+#include <CppUTest/TestHarness.h>
+
+#include "fleet/fleet-test-world.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+constexpr milliseconds call_pause{200};
+
+/// Refuses what its last answer ordered; how many starts there were.
+int refuse_all(test_world& world, const std::string& worker) {
+  const fleet::worker_orders orders = world.beat(worker);
+  for (const fleet::start_order& it : orders.starts()) {
+    world.end(worker, it.task(), it.run(), fleet::run_refused);
+  }
+  return orders.starts_size();
+}
+
+}  // namespace
+
+TEST_GROUP(refusing_worker){};
+
+TEST(refusing_worker, is_left_alone_for_longer_and_longer) {
+  // One a second over all at the most, where each call brought one.
+  constexpr int seconds = 30;
+  test_world world;
+  world.configure();
+  world.submit(7, {test_world::make_step(1)});
+  int starts = 0;
+  for (milliseconds at{0}; at < std::chrono::seconds(seconds);
+       at += call_pause) {
+    starts += refuse_all(world, "a");
+    world.pass(call_pause);
+  }
+  CHECK_TRUE(starts <= seconds);
+  CHECK_TRUE(starts >= 3);
+  LONGS_EQUAL(fleet::job_running, world.state(7).phase());
+}
+
+// What one heartbeat refuses did not fit: its room has shrunk.
+TEST(refusing_worker, that_refused_once_is_used_on) {
+  test_world world;
+  world.configure();
+  world.beat("a");
+  world.submit(7, {test_world::make_step(4)});
+  LONGS_EQUAL(4, refuse_all(world, "a"));
+  world.beat("a");
+  LONGS_EQUAL(4, world.workers["a"].running_size());
+}
+
+TEST(refusing_worker, its_tasks_run_elsewhere) {
+  test_world world;
+  world.configure();
+  world.submit(7, {test_world::make_step(2)});
+  for (int i = 0; i < 10; ++i) {
+    refuse_all(world, "a");
+    world.beat("b");
+    world.pass(call_pause);
+  }
+  LONGS_EQUAL(2, world.workers["b"].running_size());
+}
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -142,6 +142,8 @@
   unsigned failures = 0;
   job_number failed_job;
   unsigned failed_jobs = 0;
+  /// Heartbeats in a row that listed refused starts, none that was done.
+  unsigned refusals = 0;
   /// Gets no new work before this.
   time_point avoided_until{};
   unsigned avoided_times = 0;
