--- a/fleet/load-replay-test.cc
+++ b/fleet/load-replay-test.cc
@@ -58,3 +58,32 @@
   DOUBLES_EQUAL(a.served, b.served, 0);
   DOUBLES_EQUAL(a.over_s, b.over_s, 0);
 }
+
+// A job with a task that crashes workers ends before the users' budget is
+// spent, three crashes and two starts more, and no other job does.
+TEST(load_replay, crashing_jobs_are_given_up_and_no_others) {
+  constexpr unsigned most_crashes = 5;
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto out =
+        emulator::play(*emulator::find_pattern("crashing"), {}, seed);
+    CHECK_TRUE(out.crashing_jobs > 0);
+    LONGS_EQUAL(out.crashing_jobs, out.given_up);
+    LONGS_EQUAL(0, out.wrongly_given_up);
+    CHECK_TRUE(out.crashes <= most_crashes * out.crashing_jobs);
+  }
+}
+
+TEST(load_replay, room_that_shrinks_is_filled_no_further) {
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto out =
+        emulator::play(*emulator::find_pattern("shrinking"), {}, seed);
+    LONGS_EQUAL(0, out.over_room);
+    LONGS_EQUAL(0, out.wrongly_given_up);
+  }
+}
+
+TEST(load_replay, suspended_leader_gives_nothing_up_that_can_be_done) {
+  CHECK_TRUE(earned("suspended", "short", {}) >= 0.8);
+  const auto out = emulator::play(*emulator::find_pattern("suspended"), {}, 1);
+  LONGS_EQUAL(0, out.wrongly_given_up);
+}
--- a/support/emulator/emulated-worker.cc
+++ b/support/emulator/emulated-worker.cc
@@ -44,6 +44,15 @@
   next_beat = std::min(next_beat, now + detail::end_told_after);
 }
 
+void emulated_worker::begin_anew() {
+  const std::string name = beat.worker().substr(0, beat.worker().find('-'));
+  beat.set_worker(str_cat(name, "-", ++lives));
+  beat.set_sequence(0);
+  runs.clear();
+  ended.clear();
+  ends = 0;
+}
+
 void emulated_worker::fill_beat(time_point now) {
   beat.set_sequence(beat.sequence() + 1);
   beat.set_clock_ms(static_cast<uint64_t>(now.count()));
--- a/support/emulator/emulated-worker.h
+++ b/support/emulator/emulated-worker.h
@@ -37,12 +37,20 @@
   std::deque<fleet::run_end> ended;
   uint64_t ends = 0;
   time_point next_beat{};
+  /// It crashes then, as what it began makes it; later it is back.
+  time_point crashes_at{};
+  time_point back_at{};
+  unsigned lives = 1;
+  /// When its room last changed.
+  time_point resized_at{};
 
   /// The place of a run among `runs`; their number when it isn't there.
   size_t find(const fleet::task_ref& task, uint32_t number) const;
   /// Ends the run at that place, and calls soon.
   void end(size_t at, fleet::run_outcome outcome, const std::string& saved,
            time_point now);
+  /// Begins its next life: it knows and holds nothing of before.
+  void begin_anew();
   /// Makes `beat` the next heartbeat.
   void fill_beat(time_point now);
   /// Carries out all but the starts.
--- a/support/emulator/emulator.cc
+++ b/support/emulator/emulator.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <deque>
 #include <numbers>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,10 @@
 constexpr double harmless = 0.01, harmful = 0.12;
 constexpr double reference_cores = 32;
 constexpr double target_x = 6, most_load = 0.98;
+/// From the start of a crashing task to the end of its worker.
+constexpr milliseconds crash_delay{10};
+/// A room that shrank counts after so long.
+constexpr milliseconds room_counts_after{4'000};
 
 class virtual_clock final : public clock_source {
  public:
@@ -62,20 +67,25 @@
   }
 
   load_outcome play() {
-    const time_point begin = clock_.at + detail::lead;
+    const time_point begin = begin_ = clock_.at + detail::lead;
     const time_point end =
         begin +
         milliseconds(static_cast<int64_t>(pattern_.seconds * detail::ms_per_s));
     time_point next_tick = clock_.at;
     while (clock_.at < end + detail::tail) {
       clock_.at += detail::step_time;
-      if (clock_.at >= begin && clock_.at < end) arrive(begin);
+      const bool suspended =
+          is_within(begin, pattern_.suspend_at_s, pattern_.suspend_for_s);
+      if (clock_.at >= begin && clock_.at < end && !suspended) arrive(begin);
       const bool counts = clock_.at >= begin && clock_.at < end;
+      resize_rooms(begin);
+      for (emulated_worker& it : workers_) crash_or_return(it);
       for (emulated_worker& it : workers_) work(it, counts);
       if (counts) look_at_serving();
       for (emulated_worker& it : workers_) {
-        if (clock_.at >= it.next_beat) call(it);
+        if (clock_.at >= it.next_beat && it.back_at == time_point{}) call(it);
       }
+      if (suspended) continue;
       const auto before = std::chrono::steady_clock::now();
       if (clock_.at >= next_tick) {
         controller_.tick();
@@ -88,10 +98,66 @@
     const auto steps = (end + detail::tail - begin) / detail::tick_time;
     out_.decide_us = std::chrono::duration<double, std::micro>(spent_).count() /
                      static_cast<double>(steps);
+    count_failed();
     return out_;
   }
 
  private:
+  /// True from `at_s` after `begin` for so many seconds.
+  bool is_within(time_point begin, double at_s, double for_s) const {
+    const double at =
+        static_cast<double>((clock_.at - begin).count()) / detail::ms_per_s;
+    return at >= at_s && at < at_s + for_s;
+  }
+
+  void crash_or_return(emulated_worker& it) {
+    const auto due = [&](time_point at) {
+      return at != time_point{} && clock_.at >= at;
+    };
+    if (due(it.crashes_at)) {
+      ++out_.crashes;
+      it.runs.clear();
+      it.crashes_at = {};
+      it.back_at = clock_.at + milliseconds(static_cast<int64_t>(
+                                   pattern_.back_s * detail::ms_per_s));
+    } else if (due(it.back_at)) {
+      it.back_at = {};
+      it.begin_anew();
+    }
+  }
+
+  void resize_rooms(time_point begin) {
+    const bool shrunk =
+        is_within(begin, pattern_.shrink_at_s, pattern_.shrink_for_s);
+    if (shrunk == shrunk_) return;
+    shrunk_ = shrunk;
+    const auto n = static_cast<size_t>(pattern_.shrink_share *
+                                       static_cast<double>(workers_.size()));
+    for (size_t i = 0; i < n; ++i) {
+      workers_[i].resized_at = clock_.at;
+      workers_[i].beat.set_cpu_milli(pattern_.worker_cpu_milli /
+                                     (shrunk ? 2 : 1));
+    }
+  }
+
+  void count_failed() {
+    for (const auto& [number, job] : controller_.book().jobs()) {
+      if (job.phase != fleet::job_failed) continue;
+      const bool crashes = crashing_.contains(number.value());
+      ++(crashes ? out_.given_up : out_.wrongly_given_up);
+    }
+  }
+
+  void check_room(const emulated_worker& it) {
+    uint64_t taken = 0;
+    for (const emulated_run& run : it.runs) {
+      if (!run.spec.fills()) taken += run.spec.cpu_milli();
+    }
+    const bool counts = it.resized_at == time_point{} ||
+                        clock_.at - it.resized_at > detail::room_counts_after;
+    if (counts && taken > it.beat.cpu_milli()) ++out_.over_room;
+  }
+
   controller_settings make_settings(const scheduler_settings& scheduling) {
     controller_settings settings;
     settings.scheduling = scheduling;
@@ -233,6 +299,12 @@
       work += ms * step.count() * static_cast<double>(it.cpu_milli);
     }
     submit(it.queue, steps);
+    // No draw where none crashes: equal seeds give equal loads.
+    if (pattern_.crashing > 0 && chance() < pattern_.crashing) {
+      crashing_.insert(last_job_);
+      ++out_.crashing_jobs;
+      return;
+    }
     const double mean =
         it.work_ms * it.steps * it.width * static_cast<double>(it.cpu_milli);
     asked_job job;
@@ -328,6 +400,9 @@
   void call(emulated_worker& it) {
     it.next_beat = clock_.at + detail::beat_time;
     it.fill_beat(clock_.at);
+    if (is_within(begin_, pattern_.suspend_at_s, pattern_.suspend_for_s)) {
+      return;
+    }
     fleet::fleet_request request;
     *request.mutable_beat() = it.beat;
     const auto before = std::chrono::steady_clock::now();
@@ -356,6 +431,11 @@
     if (!start.saved().empty()) run.done_ms = std::stod(start.saved());
     it.runs.push_back(std::move(run));
     ++out_.starts;
+    check_room(it);
+    const bool first = start.task().step() == 0 && start.task().index() == 0;
+    if (first && crashing_.contains(start.task().job())) {
+      it.crashes_at = clock_.at + detail::crash_delay;
+    }
   }
 
   void look_at_serving() {
@@ -377,6 +457,9 @@
   metrics_registry metrics_;
   fleet_controller controller_;
   std::vector<emulated_worker> workers_;
+  std::set<uint64_t> crashing_;
+  time_point begin_{};
+  bool shrunk_ = false;
   // By serving and fill image.
   std::vector<std::vector<double>> costs_;
   std::map<uint64_t, double> phases_;
--- a/support/emulator/emulator.h
+++ b/support/emulator/emulator.h
@@ -35,6 +35,14 @@
   /// target, and never less than nothing (the users' rules, "Credit").
   double served = 0;
   uint64_t starts = 0;
+  /// Jobs with a task that crashes workers, and those that failed; other jobs
+  /// that failed; workers that crashed.
+  unsigned crashing_jobs = 0;
+  unsigned given_up = 0;
+  unsigned wrongly_given_up = 0;
+  unsigned crashes = 0;
+  /// Starts beyond a room that had been so for longer than an order travels.
+  unsigned over_room = 0;
   /// Mean time that the decisions took for each 100 ms played, in us.
   double decide_us = 0;
 };
--- a/support/emulator/main.cc
+++ b/support/emulator/main.cc
@@ -58,6 +58,14 @@
     if (it.at_work_s > 0) over += it.over_s / it.at_work_s;
     served += it.served;
     decide += it.decide_us;
+    if (it.crashing_jobs + it.crashes + it.over_room > 0) {
+      std::printf(
+          "%s, seed %llu: %u crashing jobs, %u given up, %u wrongly, "
+          "%u workers crashed, %u starts over the room\n",
+          pattern.name.c_str(), static_cast<unsigned long long>(seed),
+          it.crashing_jobs, it.given_up, it.wrongly_given_up, it.crashes,
+          it.over_room);
+    }
   }
   const auto n = static_cast<double>(seeds);
   for (const auto& [name, it] : kinds) {
--- a/support/emulator/pattern.cc
+++ b/support/emulator/pattern.cc
@@ -64,11 +64,39 @@
   return it;
 }
 
+/// Some jobs crash the workers that they run on.
+load_pattern crashing() {
+  load_pattern it = calm();
+  it.name = "crashing";
+  it.crashing = 0.08;
+  return it;
+}
+
+/// Half of the workers lose half of their room for a while.
+load_pattern shrinking() {
+  load_pattern it = calm();
+  it.name = "shrinking";
+  it.shrink_at_s = 10;
+  it.shrink_for_s = 15;
+  it.shrink_share = 0.5;
+  return it;
+}
+
+/// The leader's box stands still for less than a lease.
+load_pattern suspended() {
+  load_pattern it = calm();
+  it.name = "suspended";
+  it.suspend_at_s = 15;
+  it.suspend_for_s = 3;
+  return it;
+}
+
 }  // namespace detail
 
 const std::vector<load_pattern>& all_patterns() {
   static const std::vector<load_pattern> all{
-      detail::fill_over_serving(), detail::calm(), detail::fill_alone()};
+      detail::fill_over_serving(), detail::calm(),      detail::fill_alone(),
+      detail::crashing(),          detail::shrinking(), detail::suspended()};
   return all;
 }
 
--- a/support/emulator/pattern.h
+++ b/support/emulator/pattern.h
@@ -52,6 +52,17 @@
   double burst_at_s = 0;
   double burst_for_s = 0;
   std::vector<job_kind> kinds;
+  /// Of the jobs that end, the share whose first task crashes each worker that
+  /// starts it, and how soon the worker is back as a new life.
+  double crashing = 0;
+  double back_s = 4;
+  /// From then on for so long, a share of the workers has half of its room.
+  double shrink_at_s = 0;
+  double shrink_for_s = 0;
+  double shrink_share = 0;
+  /// The leader's box is suspended then for so long.
+  double suspend_at_s = 0;
+  double suspend_for_s = 0;
 };
 
 /// All patterns by name.
--- a/support/faults/fault-plan.cc
+++ b/support/faults/fault-plan.cc
@@ -36,6 +36,10 @@
 
 /// Other draws than those of the strikes.
 constexpr uint64_t stops_seed = 0x73746f7073;
+constexpr uint64_t suspensions_seed = 0x73757370;
+/// Longer than a leader's lease and an election.
+constexpr uint64_t shortest_suspension_ms = 2'000;
+constexpr uint64_t suspension_spread_ms = 3'000;
 constexpr time_point first_strike{1'000};
 
 void add_stops(const plan_settings& settings, std::vector<fault_strike>& out) {
@@ -52,8 +56,26 @@
     it.length = milliseconds(shortest_ms);
     out.push_back(it);
   }
-  std::stable_sort(out.begin(), out.end(),
-                   [](const auto& a, const auto& b) { return a.at < b.at; });
+}
+
+void add_suspensions(const plan_settings& settings,
+                     std::vector<fault_strike>& out) {
+  seeded_random random(settings.seed ^ suspensions_seed);
+  const milliseconds spread = settings.length - milliseconds(first_strike);
+  if (spread.count() <= 0) return;
+  for (unsigned i = 0; i < settings.suspensions; ++i) {
+    fault_strike it;
+    it.at = first_strike +
+            milliseconds(random.below(static_cast<uint64_t>(spread.count())));
+    it.kind = fault_kind::suspend;
+    it.on_leader = random.below(2) == 0;
+    it.on_entry = !it.on_leader && random.below(2) == 0;
+    it.box = static_cast<unsigned>(
+        random.below(it.on_entry ? settings.entries : settings.controls));
+    it.length = milliseconds(shortest_suspension_ms +
+                             random.below(suspension_spread_ms));
+    out.push_back(it);
+  }
 }
 
 }  // namespace
@@ -76,6 +98,8 @@
       return "cut";
     case fault_kind::freeze:
       return "freeze";
+    case fault_kind::suspend:
+      return "suspend";
     case fault_kind::kill:
       return "kill";
     case fault_kind::terminate:
@@ -105,6 +129,9 @@
     at += milliseconds(least_gap_ms + random.below(gap_spread_ms));
   }
   add_stops(settings, out);
+  add_suspensions(settings, out);
+  std::stable_sort(out.begin(), out.end(),
+                   [](const auto& a, const auto& b) { return a.at < b.at; });
   return out;
 }
 
--- a/support/faults/fault-plan.h
+++ b/support/faults/fault-plan.h
@@ -26,6 +26,8 @@
   cut,
   /// SIGSTOP, later SIGCONT.
   freeze,
+  /// The same, as a suspended box sees it: its steady clock stands still.
+  suspend,
   /// SIGKILL, SIGTERM, and started again.
   kill,
   terminate,
@@ -54,6 +56,8 @@
   /// So many planned stops of entry boxes come beside the other strikes, which
   /// they don't change.
   unsigned stops = 1;
+  /// The same of boxes that are suspended, half of them the leader.
+  unsigned suspensions = 0;
   /// Faults strike from the first second to this one.
   milliseconds length{15'000};
 };
--- a/support/faults/history-test.cc
+++ b/support/faults/history-test.cc
@@ -195,6 +195,44 @@
      }},
 };
 
+/// So many runs of the task, one after the other; all crash their workers.
+void crash_runs(history& it, uint32_t n) {
+  tries(it, {200});
+  it.plan_crash(job);
+  for (uint32_t run = 1; run <= n; ++run) {
+    const int began = 5 + 2 * static_cast<int>(run);
+    it.began(task, run_of(run, began));
+    it.crashes(task, run);
+    it.ended(task, run, time_point(began + 1), false);
+  }
+}
+
+const row crash_rows[] = {
+    {"three starts after three crashes", "BUDGET",
+     [](history& it) { crash_runs(it, 6); }},
+    {"two starts after three crashes", "",
+     [](history& it) { crash_runs(it, 5); }},
+    {"a crashing job is shown as failed", "",
+     [](history& it) {
+       crash_runs(it, 2);
+       reads(it, "failed", 200, 50);
+     }},
+    {"one that can be done is shown as failed", "STATE",
+     [](history& it) {
+       tries(it, {200});
+       it.began(task, run_of(1, 5));
+       it.ended(task, 1, time_point(6), true);
+       reads(it, "failed", 200, 50);
+     }},
+    {"a start over the room", "LIMIT",
+     [](history& it) {
+       tries(it, {200});
+       it.began(task, run_of(1, 5));
+       it.over_room(task, "w", 3);
+       it.ended(task, 1, time_point(6), true);
+     }},
+};
+
 const row config_rows[] = {
     {"an older configuration is read", "CONFIG",
      [](history& it) {
@@ -244,6 +282,7 @@
 
 TEST(soak_history, runs) { check_rows(run_rows); }
 TEST(soak_history, cancels) { check_rows(cancel_rows); }
+TEST(soak_history, crashes) { check_rows(crash_rows); }
 TEST(soak_history, states) { check_rows(state_rows); }
 TEST(soak_history, configurations) { check_rows(config_rows); }
 TEST(soak_history, stops) { check_rows(stop_rows); }
--- a/support/faults/history.cc
+++ b/support/faults/history.cc
@@ -79,7 +79,7 @@
 }
 
 bool history::job_record::is_owed() const {
-  return taken_at() && !may_be_cancelled();
+  return taken_at() && !may_be_cancelled() && !crashes;
 }
 
 void history::plan_job(const job_name& job,
@@ -126,6 +126,19 @@
   }
 }
 
+void history::crashes(const task_name& task, uint32_t run) {
+  for (run_record& it : tasks_[task]) {
+    if (it.run == run) it.crashed = true;
+  }
+}
+
+void history::over_room(const task_name& task, const std::string& worker,
+                        size_t runs) {
+  faults_.push_back(str_cat("LIMIT ", task.str(), " began on ", worker,
+                            ", where it is one of ", runs,
+                            ", more than its room has held for long"));
+}
+
 bool history::is_done(const task_name& task) const {
   const auto found = tasks_.find(task);
   if (found == tasks_.end()) return false;
@@ -216,6 +229,16 @@
   }
 }
 
+void history::check_budget(std::vector<std::string>& out) const {
+  for (const auto& [name, runs] : tasks_) {
+    const auto crashed = static_cast<size_t>(std::count_if(
+        runs.begin(), runs.end(), [](const auto& it) { return it.crashed; }));
+    if (crashed < 2 * crash_budget) continue;
+    out.push_back(str_cat("BUDGET ", name.str(), " crashed ", crashed,
+                          " workers, at last ", text_of(runs.back())));
+  }
+}
+
 std::string history::fault_of(const job_record& job,
                               const state_record& it) const {
   const auto taken = job.taken_at();
@@ -225,6 +248,7 @@
     return "is not known";
   }
   if (it.state == "canceled" && meant) return "nobody cancelled it";
+  if (it.state == "failed" && !job.crashes) return "it can be done";
   if (it.state != "succeeded") return "";
   for (const task_name& task : job.tasks) {
     if (!was_done_by(task, it.call.ended)) return task.str() + " is not done";
@@ -261,6 +285,7 @@
   check_twice(out);
   check_cancelled(out, calm);
   check_states(out);
+  check_budget(out);
   if (calm) check_lost(out);
   return out;
 }
--- a/support/faults/history.h
+++ b/support/faults/history.h
@@ -55,6 +55,10 @@
 /// From when a job was taken until every box knows it.
 constexpr milliseconds known_within{3'000};
 
+/// A task may crash so many workers, and is started less often than that again
+/// after it.
+constexpr size_t crash_budget = 3;
+
 /// True for an answer to a cancel by which no run may follow: taken, or no such
 /// job.
 bool acknowledges_cancel(unsigned status);
@@ -68,6 +72,8 @@
   time_point began{};
   std::optional<time_point> ended;
   bool done = false;
+  /// It crashed its worker.
+  bool crashed = false;
   /// When its end was told to be known.
   std::optional<time_point> noted;
 };
@@ -84,6 +90,13 @@
   void began(const task_name& task, const run_record& it);
   void ended(const task_name& task, uint32_t run, time_point at, bool done);
   void noted(const task_name& task, uint32_t run, time_point at);
+  /// The first task of the job crashes whatever starts it: it is owed no end.
+  void plan_crash(const job_name& job) { jobs_[job].crashes = true; }
+  /// The run crashes its worker.
+  void crashes(const task_name& task, uint32_t run);
+  void worker_crashed() { ++crashes_; }
+  /// The worker runs so many tasks, more than its room has held for a while.
+  void over_room(const task_name& task, const std::string& worker, size_t runs);
   /// What the operators wrote and read.
   register_history& configurations() { return configurations_; }
   const register_history& configurations() const { return configurations_; }
@@ -104,6 +117,8 @@
   /// How many cancels were acknowledged, and states told.
   size_t cancels() const { return cancels_; }
   size_t states() const { return states_; }
+  /// Workers that a task crashed.
+  size_t crashes() const { return crashes_; }
 
  private:
   struct job_record {
@@ -111,6 +126,7 @@
     std::vector<try_record> tries;
     std::vector<try_record> cancels;
     std::vector<state_record> states;
+    bool crashes = false;
 
     std::optional<time_point> taken_at() const;
     /// When the first cancel was acknowledged.
@@ -124,6 +140,7 @@
   void check_twice(std::vector<std::string>& out) const;
   void check_lost(std::vector<std::string>& out) const;
   void check_cancelled(std::vector<std::string>& out, bool calm) const;
+  void check_budget(std::vector<std::string>& out) const;
   void check_states(std::vector<std::string>& out) const;
   /// What a state that a caller was told contradicts; empty for nothing.
   std::string fault_of(const job_record& job, const state_record& it) const;
@@ -136,6 +153,7 @@
   std::map<unsigned, size_t> statuses_;
   size_t cancels_ = 0;
   size_t states_ = 0;
+  size_t crashes_ = 0;
   std::vector<std::string> faults_;
   register_history configurations_;
   stop_history stops_;
--- a/support/faults/main.cc
+++ b/support/faults/main.cc
@@ -17,7 +17,7 @@
 Usage:
   fault-soak-driver --folder DIR --seed K [--seconds N] [--controls N]
                     [--entries N] [--callers N] [--workers N] [--stops N]
-                    [--net N]
+                    [--suspensions N] [--net N]
 
 Asks on standard output for starts ("start NAME") and reports on standard
 error.
@@ -32,6 +32,8 @@
   --workers N    Workers. [default: 12]
   --stops N      Planned stops of entry boxes beside the seed's strikes.
                  [default: 1]
+  --suspensions N  Boxes that are suspended, beside the seed's strikes.
+                 [default: 0]
   --net N        The second part of the addresses 127.N.x.y. [default: 64]
 )";
 
@@ -52,6 +54,7 @@
   it.place.folder = options["--folder"].asString();
   it.place.net = number(options, "--net");
   it.plan.stops = number(options, "--stops");
+  it.plan.suspensions = number(options, "--suspensions");
   it.callers = number(options, "--callers");
   it.workers = number(options, "--workers");
   return it;
@@ -66,8 +69,9 @@
             << " runs=" << it.runs << " cancels=" << it.cancels
             << " states=" << it.states << " writes=" << it.writes
             << " reads=" << it.reads << " stops=" << it.stops
-            << " strikes=" << it.strikes.size() << " tries=\"" << statuses
-            << "\" broken=" << it.broken.size() << "\n";
+            << " crashes=" << it.crashes << " strikes=" << it.strikes.size()
+            << " tries=\"" << statuses << "\" broken=" << it.broken.size()
+            << "\n";
   if (it.broken.empty()) return;
   for (const std::string& line : it.strikes) std::cerr << "  " << line << "\n";
   const auto logs = kestrelreel::faults::read_logs(settings.place.folder);
--- a/support/faults/soak-boxes.cc
+++ b/support/faults/soak-boxes.cc
@@ -76,6 +76,10 @@
   }
 }
 
+void soak_boxes::mark_suspended(const std::string& name) const {
+  std::ofstream(path(name, "suspended"));
+}
+
 std::vector<std::string> soak_boxes::names() const {
   std::vector<std::string> out;
   for (unsigned i = 0; i < place_.controls; ++i) {
--- a/support/faults/soak-boxes.h
+++ b/support/faults/soak-boxes.h
@@ -47,6 +47,8 @@
   bool signal(const std::string& name, int number);
   /// As `signal`, of a process that is expected to end by it.
   bool stop(const std::string& name, int number);
+  /// Its steady clock will leave out the next time for which it stands still.
+  void mark_suspended(const std::string& name) const;
   bool is_up(const std::string& name) const;
   std::vector<std::string> names() const;
   /// The control box whose log told last that it leads; 0 while none did.
--- a/support/faults/soak-caller.cc
+++ b/support/faults/soak-caller.cc
@@ -25,6 +25,8 @@
 constexpr uint64_t most_count = 3;
 /// Of so many jobs one is cancelled, half of these while their tasks run long.
 constexpr uint64_t cancelled_of = 4;
+/// Jobs whose names end so have a task that crashes its workers: one in 256.
+constexpr const char* crashes_by_name = "00";
 constexpr uint64_t cancel_pause_ms = 900;
 constexpr uint64_t cancel_tries = 3;
 /// How many states are read once no more jobs are handed in.
@@ -93,7 +95,7 @@
   const uint64_t n = is_long ? 1 : 1 + random_.below(most_steps);
   for (uint64_t step = 0; step < n; ++step) {
     const uint64_t count = 1 + random_.below(most_count);
-    json::object it{{"Count", count}, {"Cpu", 200}, {"MemMb", 10}};
+    json::object it{{"Count", count}, {"Cpu", task_cpu_milli}, {"MemMb", 10}};
     if (step > 0) it["DependsOn"] = json::array{step - 1};
     steps.push_back(std::move(it));
     for (uint64_t i = 0; i < count; ++i) {
@@ -101,8 +103,11 @@
     }
   }
   seen_.plan_job(job, tasks);
-  return json::serialize(
-      json::object{{"Spec", is_long ? long_spec : "s"}, {"Steps", steps}});
+  const bool crashes =
+      meant == intent::to_end && job.str().ends_with(crashes_by_name);
+  if (crashes) seen_.plan_crash(job);
+  const char* text = is_long ? long_spec : crashes ? crash_spec : "s";
+  return json::serialize(json::object{{"Spec", text}, {"Steps", steps}});
 }
 
 boost::asio::awaitable<void> soak_caller::run(time_point until) {
--- a/support/faults/soak-run.cc
+++ b/support/faults/soak-run.cc
@@ -73,6 +73,7 @@
   result_.statuses = seen_.statuses();
   result_.cancels = seen_.cancels();
   result_.states = seen_.states();
+  result_.crashes = seen_.crashes();
   result_.stops = seen_.stops().stops();
   result_.writes = seen_.configurations().writes();
   result_.reads = seen_.configurations().reads();
@@ -148,6 +149,9 @@
       co_return co_await dark_after_answers_vanish(it, name);
     case fault_kind::freeze:
       co_return co_await freeze(it, name);
+    case fault_kind::suspend:
+      boxes_.mark_suspended(name);
+      co_return co_await freeze(it, name);
     case fault_kind::kill:
       if (!it.on_entry) links_[it.box]->take_new_ones(false);
       if (boxes_.stop(name, SIGKILL)) note_strike(it, clock_.now());
--- a/support/faults/soak-worker.cc
+++ b/support/faults/soak-worker.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "base/text.h"
+
 namespace kestrelreel::faults {
 namespace {
 
@@ -16,6 +18,13 @@
 /// How often runs are looked at for their ends, while no call is out.
 constexpr milliseconds longest_nap{50};
 constexpr uint64_t cpu_milli = 32'000;
+/// One worker in so many shrinks at times, to the room of two tasks.
+constexpr uint64_t shrinks_of = 3;
+constexpr uint64_t shrunk_milli = 2 * task_cpu_milli;
+constexpr uint64_t room_seed = 0x726f6f6d;
+/// A room stays as it is for at least so long, and up to so much longer.
+constexpr uint64_t least_room_ms = 5'000;
+constexpr uint64_t room_spread_ms = 3'000;
 constexpr uint64_t memory_mb = 64'000;
 
 uint64_t number_or(const json::object& from, const char* name, uint64_t other) {
@@ -41,7 +50,51 @@
       clock_(clock),
       settings_(std::move(settings)),
       seen_(seen),
-      random_(seed) {}
+      random_(seed),
+      room_random_(seed ^ room_seed),
+      room_milli_(cpu_milli) {}
+
+/// Each life after a crash has a name of its own.
+std::string soak_worker::id() const {
+  return crashes_ == 0 ? settings_.id : str_cat(settings_.id, "-", crashes_);
+}
+
+void soak_worker::resize_room() {
+  const time_point now = clock_.now();
+  if (resized_at_ == time_point{}) resized_at_ = now;
+  const milliseconds least(
+      static_cast<int64_t>(least_room_ms + room_random_.below(room_spread_ms)));
+  if (now - resized_at_ < least) return;
+  resized_at_ = now;
+  const bool shrinks =
+      room_milli_ == cpu_milli && room_random_.below(shrinks_of) == 0;
+  room_milli_ = shrinks ? shrunk_milli : cpu_milli;
+}
+
+/// True when it crashed: it knows and holds nothing of before.
+bool soak_worker::crash_if_due() {
+  const time_point now = clock_.now();
+  if (!crashes_at_ || now < *crashes_at_) return false;
+  for (const auto& [task, it] : running_) {
+    seen_.ended(task, it.run, now, false);
+  }
+  running_.clear();
+  over_.clear();
+  ended_.clear();
+  told_.clear();
+  sequence_ = last_end_ = fence_ = 0;
+  lease_until_ = {};
+  crashes_at_.reset();
+  ++crashes_;
+  seen_.worker_crashed();
+  return true;
+}
+
+void soak_worker::check_room(const task_name& task) {
+  const bool fits = running_.size() * task_cpu_milli <= room_milli_;
+  if (fits || clock_.now() - resized_at_ <= room_counts_after) return;
+  seen_.over_room(task, id(), running_.size());
+}
 
 http_connection& soak_worker::connection() {
   const std::string address =
@@ -72,18 +125,23 @@
                    {"ClockMs", clock_.now().count()},
                    {"Running", std::move(running)},
                    {"Ended", std::move(ended)}};
-  out["Capacity"] = json::object{{"Cpu", cpu_milli}, {"MemMb", memory_mb}};
+  out["Capacity"] = json::object{{"Cpu", room_milli_}, {"MemMb", memory_mb}};
   return json::serialize(out);
 }
 
 boost::asio::awaitable<void> soak_worker::run() {
   boost::asio::steady_timer timer(io_);
   while (true) {
+    if (crash_if_due()) {
+      timer.expires_after(crash_pause);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    resize_room();
     http_connection& to = connection();
     const time_point sent = clock_.now();
     http_question question;
     question.method = boost::beast::http::verb::put;
-    question.target = "/instances/" + settings_.id;
+    question.target = "/instances/" + id();
     question.body = body();
     const http_reply reply = co_await to.ask(std::move(question), answer_limit);
     end_what_is_due();
@@ -101,7 +159,7 @@
       timer.expires_after(std::min(longest_nap, due - clock_.now()));
       co_await timer.async_wait(boost::asio::use_awaitable);
       end_what_is_due();
-      if (ended_.size() > listed) break;
+      if (ended_.size() > listed || crashes_at_) break;
     }
   }
 }
@@ -140,10 +198,15 @@
     running_[task] = {run, "", now + work_of(text_at(row, 2))};
     run_record record;
     record.run = run;
-    record.worker = settings_.id;
+    record.worker = id();
     record.ordered_by = from;
     record.began = now;
     seen_.began(task, record);
+    check_room(task);
+    if (text_at(row, 2) == crash_spec && task.str().ends_with(".0.0.0")) {
+      crashes_at_ = now + crash_delay;
+      seen_.crashes(task, run);
+    }
   }
 }
 
--- a/support/faults/soak-worker.h
+++ b/support/faults/soak-worker.h
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,18 @@
 constexpr const char* long_spec = "long";
 constexpr milliseconds long_work{9'000};
 
+/// What the text says of a job whose first task crashes each worker that starts
+/// it.
+constexpr const char* crash_spec = "crash";
+/// From the start until the worker crashes, and until it is back.
+constexpr milliseconds crash_delay{10};
+constexpr milliseconds crash_pause{3'000};
+
+/// What each task asks for, in thousandths of a processor.
+constexpr uint64_t task_cpu_milli = 200;
+/// A room that shrank counts after so long: an answer may be on its way.
+constexpr milliseconds room_counts_after{4'000};
+
 /// Where a worker turns to, and who it is.
 struct worker_settings {
   std::string id;
@@ -53,7 +66,11 @@
     const char* how = "done";
   };
 
+  std::string id() const;
   std::string body();
+  void resize_room();
+  bool crash_if_due();
+  void check_room(const task_name& task);
   void take_answer(const std::string& body, const std::string& from,
                    time_point sent);
   void take_starts(const boost::json::object& orders, const std::string& from);
@@ -69,6 +86,7 @@
   worker_settings settings_;
   history& seen_;
   seeded_random random_;
+  seeded_random room_random_;
   std::map<std::string, std::unique_ptr<http_connection>> connections_;
   std::map<task_name, live_run> running_;
   // The highest run of a task that was stopped or ended here.
@@ -80,6 +98,11 @@
   uint64_t last_end_ = 0;
   uint64_t fence_ = 0;
   time_point lease_until_{};
+  // It crashes then, as a task that it began makes it.
+  std::optional<time_point> crashes_at_;
+  unsigned crashes_ = 0;
+  uint64_t room_milli_ = 0;
+  time_point resized_at_{};
   milliseconds pause_{200};
 };
 
