--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -43,6 +43,7 @@
 std::vector<crash_finding> examine_unheard(const std::set<run_key>& runs,
                                            const job_book& book) {
   std::vector<crash_finding> out;
+  out.reserve(runs.size());
   for (const run_key& run : runs) {
     out.push_back({run, weigh_unheard(run, book), false});
   }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -369,6 +369,8 @@
                       const std::vector<yielding>& workers) const;
   void report_wait(const step_to_place& step, uint64_t tasks,
                    milliseconds waited, const std::vector<yielding>& workers);
+  const char* ruled_out_by(const worker_view& it) const;
+  void report_processors();
   void report_late_start(const placement& it, bool lasts);
   void report_if_barred(const step_to_place& step,
                         const std::vector<worker_view*>& usable);
--- a/fleet/waits.cc
+++ b/fleet/waits.cc
@@ -184,6 +184,35 @@
       .with("most-memory-mb", n.most_memory);
 }
 
+/// Where the processors are: workers that get no new work, by reason, and of
+/// the others what is taken, and what of that their workers do not list.
+void fleet_scheduler::report_processors() {
+  std::map<std::string, uint64_t> ruled_out;
+  gain all, taken, unlisted, kept;
+  const size_t usable = candidates().size();
+  for (auto& [id, it] : workers_.views()) {
+    if (const char* reason = ruled_out_by(it)) {
+      ++ruled_out[reason];
+      continue;
+    }
+    all.cpu += it.beat.cpu_milli();
+    taken.cpu += it.load.cpu;
+    for (const kept_room& room : it.kept) kept.cpu += room.cpu;
+    for (const run_key& run : book_.runs_on(id)) {
+      const fleet::step_spec* step = book_.find_step(run.task);
+      if (step == nullptr || step->fills() || it.rows.contains(run)) continue;
+      unlisted.cpu += step->cpu_milli();
+    }
+  }
+  log_event line(detail::service_name, log_level::warn, "lasting-room");
+  line.with("usable", usable)
+      .with("cpu", all.cpu)
+      .with("taken-cpu", taken.cpu)
+      .with("unlisted-cpu", unlisted.cpu)
+      .with("kept-cpu", kept.cpu);
+  for (const auto& [reason, n] : ruled_out) line.with(reason, n);
+}
+
 void fleet_scheduler::report_waits() {
   const time_point now = clock_.now();
   if (now - waits_reported_at_ < detail::report_every) return;
@@ -191,6 +220,7 @@
   std::map<uint32_t, std::vector<yielding>> by_priority;
   size_t lines = 0;
   for (const long_wait& wait : long_waits(detail::report_after)) {
+    if (lines == 0) report_processors();
     if (++lines > detail::most_reports) return;
     const auto [workers, fresh] = by_priority.try_emplace(wait.priority);
     if (fresh) workers->second = yielding_to(wait.priority);
