--- a/support/faults/soak-boxes.cc
+++ b/support/faults/soak-boxes.cc
@@ -103,8 +103,10 @@
 }
 
 bool soak_boxes::start(const std::string& name) {
-  if (is_up(name)) return false;
-  if (std::filesystem::exists(path(name, "exit")) && !stopped_.contains(name)) {
+  const bool ended = std::filesystem::exists(path(name, "exit"));
+  // One that was asked for may have no process id yet.
+  if (!asked_.insert(name).second && !ended) return false;
+  if (ended && !stopped_.contains(name)) {
     unasked_ends_.push_back(str_cat("ENDED ", name, " by itself: code ",
                                     read_from(path(name, "exit"), 0)));
   }
