--- a/fleet/crashing-task-test.cc
+++ b/fleet/crashing-task-test.cc
@@ -109,3 +109,29 @@
     LONGS_EQUAL_TEXT(fleet::job_failed, world.phase_of(bad_job), it.name);
   }
 }
+
+// A crash empties a worker, which then draws what waits: its victims.
+TEST(crashing_task, victims_of_one_crash_do_not_start_beside_the_cause_again) {
+  constexpr uint64_t first = 100;
+  constexpr uint64_t jobs = 47;
+  crash_settings settings;
+  settings.workers = 6;
+  settings.returns_after = milliseconds(3'000);
+  crash_world world(settings);
+  world.crashes = is_bad;
+  world.play(milliseconds(1'000));
+  world.submit(bad_job, {crash_world::make_step(1)});
+  for (uint64_t n = 0; n < jobs; ++n) {
+    world.submit(first + n, {crash_world::make_step(1)});
+  }
+  world.play_until(bad_job, fleet::job_failed, long_enough);
+  LONGS_EQUAL(fleet::job_failed, world.phase_of(bad_job));
+  int victims = 0;
+  for (uint64_t n = 0; n < jobs; ++n) {
+    const int starts = world.starts[{job_number(first + n), 0, 0, 0}];
+    CHECK_TRUE(starts <= 2);
+    victims += starts - 1;
+    LONGS_EQUAL(fleet::job_succeeded, world.phase_of(first + n));
+  }
+  CHECK_TRUE(victims > 0);
+}
--- a/fleet/innocent-crash-test.cc
+++ b/fleet/innocent-crash-test.cc
@@ -54,6 +54,15 @@
   world.crash(i);
 }
 
+/// What it just began is listed once.
+void drain_one_that_ends_at_once(crash_world& world, uint64_t round) {
+  const size_t i = round % world.size();
+  if (!world.up(i)) return;
+  world.drain(i, 60'000);
+  world.play(milliseconds(100));
+  world.crash(i);
+}
+
 std::vector<row> rows() {
   crash_settings plain;
   crash_settings relayed;
@@ -74,7 +83,8 @@
       {"cut off", plain, cut_some},
       {"cut off, relayed", relayed, cut_some},
       {"frozen", plain, freeze_some},
-      {"drained", plain, drain_one_that_ends}};
+      {"drained", plain, drain_one_that_ends},
+      {"drained, ends at once", plain, drain_one_that_ends_at_once}};
 }
 
 }  // namespace
@@ -183,3 +193,21 @@
     LONGS_EQUAL_TEXT(it.against_b, against[run_b], it.name);
   }
 }
+
+// It told that it drains while it listed the run for the first time.
+TEST(innocent_crash, end_of_a_worker_that_drains_is_no_crash) {
+  crash_settings settings;
+  settings.workers = 1;
+  crash_world world(settings);
+  world.play(milliseconds(1'000));
+  world.submit(first_job, {crash_world::make_step(1)});
+  while (world.runs_of(first_job) == 0) world.play(milliseconds(100));
+  world.drain(0, 60'000);
+  world.play(milliseconds(200));
+  world.crash(0);
+  for (int i = 0; i < 80; ++i) {
+    world.play(milliseconds(100));
+    CHECK_TRUE(world.all.book().suspects().empty());
+  }
+  LONGS_EQUAL(fleet::job_succeeded, world.phase_of(first_job));
+}
