Placing of suspects costs a look at what runs only where it may decide

After a mass crash at 1,100 workers some hundred suspects wait, and for each all runs of all workers were looked at; each look at a waiting step went through its tasks. Found by reading, not measured apart. The order of the checks changed and no decision: the same worker is the best one.

--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -201,11 +201,8 @@
                                                          bool starved) {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
   const fleet::queue_route& queue = book_.queue_of(job);
-  const auto& tasks = job.times[first.time][first.step].tasks;
-  const bool interrupted =
-      std::any_of(tasks.begin(), tasks.end(), is_interrupted);
-  return {spec,    queue.pool(),     first,      model_.id_of(spec.image()),
-          starved, queue.priority(), interrupted};
+  return {spec,    queue.pool(),    first, model_.id_of(spec.image()),
+          starved, queue.priority()};
 }
 
 void fleet_scheduler::plan_job(const waiting_job& job,
@@ -254,7 +251,7 @@
   if (!has_room() || is_trying(it, step)) return false;
   // A task that crashed the life before would crash this one, before it shows
   // that the other is over.
-  if (step.interrupted && workers_.is_unsettled(it)) return false;
+  if (workers_.is_unsettled(it) && has_interrupted(step.first)) return false;
   for (const kept_room& kept : it.kept) {
     if (kept.step == step.first || !binds(kept, step.priority)) continue;
     taken.add({kept.cpu, kept.memory_mb, kept.accelerators});
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -153,8 +153,6 @@
     image_id image;
     bool starved;
     uint32_t priority;
-    // A task of it that waits had begun before.
-    bool interrupted;
   };
   struct serving_task {
     run_key run;
@@ -317,6 +315,7 @@
   bool has_unproven(const worker_view& it) const;
   void note_tries();
   void note_try(const worker_id& id, const task_key& task);
+  bool has_interrupted(const task_key& first) const;
   bool awaits_fate(const task_key& key, const task_entry& task) const;
   static bool is_trying(const worker_view& it, const step_to_place& step);
   std::optional<size_t> place_for_suspect(const step_to_place& step,
--- a/fleet/suspects.cc
+++ b/fleet/suspects.cc
@@ -63,6 +63,13 @@
   trying_.push_back(id);
 }
 
+/// True when a task of the step that waits had begun before.
+bool fleet_scheduler::has_interrupted(const task_key& first) const {
+  const auto& tasks =
+      book_.find(first.job)->times[first.time][first.step].tasks;
+  return std::any_of(tasks.begin(), tasks.end(), is_interrupted);
+}
+
 /// True while the suspect's last worker is silent and may just be about to show
 /// that it crashed: another crash might be enough.
 bool fleet_scheduler::awaits_fate(const task_key& key,
@@ -88,10 +95,12 @@
     const worker_view& it = *all[i];
     auto value = value_of(step, it);
     if (!value) continue;
+    *value -= detail::company_cost * static_cast<double>(it.rows.size());
+    // What runs there is looked at only where it may decide.
+    if (best && *value <= most) continue;
     if (has_unproven(it) && it.tries != step.first) {
       *value -= detail::unproven_cost;
     }
-    *value -= detail::company_cost * static_cast<double>(it.rows.size());
     if (best && *value <= most) continue;
     best = i;
     most = *value;
