--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <ctime>
 #include <string>
 
 #include "fleet/slow-test-parts.h"
@@ -18,7 +19,6 @@
 constexpr milliseconds pass_on_interval{10};
 /// Two syncs and a way.
 constexpr milliseconds commit_time{15};
-constexpr int intakes = 4;
 constexpr milliseconds short_work{640};
 /// A worker calls again so long after an end.
 constexpr milliseconds after_end{50};
@@ -46,8 +46,22 @@
   // Jobs a second, each of so many short tasks.
   double jobs_per_s = 8;
   uint32_t width = 8;
+  // The leader's share of a core: its steps take what they take here, by that
+  // share, instead of `cost`. 0: `cost` counts.
+  double processor_share = 0;
+  int intakes = 4;
+  // The workers' first calls are spread over so long.
+  milliseconds first_calls{200};
 };
 
+/// Processor time of this thread so far, in microseconds.
+inline double thread_us() {
+  timespec it{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
+  return static_cast<double>(it.tv_sec) * 1e6 +
+         static_cast<double>(it.tv_nsec) / 1e3;
+}
+
 /// What a run came to.
 struct outcome {
   std::string wrong;
@@ -55,6 +69,10 @@
   int done = 0;
   milliseconds longest_away{0};
   milliseconds longest_order_lag{0};
+  // Processor time that the leader took here, in microseconds, and the answers
+  // with orders that it gave.
+  double leader_us = 0;
+  uint64_t answers = 0;
 };
 
 }  // namespace kestrelreel::busy
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -19,7 +19,7 @@
  public:
   explicit busy_world(const setting& it)
       : setting_(it), leader_(make_settings(), clock_, *this, metrics_) {
-    for (int i = 0; i < intakes; ++i) {
+    for (int i = 0; i < it.intakes; ++i) {
       boxes_.push_back(std::make_unique<intake_box>(clock_, metrics_));
     }
     for (int i = 0; i < it.workers; ++i) {
@@ -29,8 +29,8 @@
       c.it.born = clock_.now();
       c.it.born_ms = slow::first_born;
       c.it.lease = clock_.now();
-      c.it.next_call = clock_.now() + milliseconds(i % 200);
-      c.box = i % intakes;
+      c.it.next_call = clock_.now() + milliseconds(i % it.first_calls.count());
+      c.box = i % it.intakes;
     }
     leader_.leads(true);
     fleet::fleet_request request;
@@ -39,7 +39,7 @@
   }
 
   bool may_decide() override { return true; }
-  term_number term() const override { return term_number(1); }
+  term_number term() const override { return term_number(term_); }
   absl::Status propose(const fleet::fleet_command& command) override {
     entries_.push_back({clock_.now() + commit_time, command});
     return absl::OkStatus();
@@ -61,6 +61,22 @@
     }
   }
 
+  void set_jobs_per_s(double n) { setting_.jobs_per_s = n; }
+
+  /// Another box leads: it knows the book and no worker.
+  void change_leader() {
+    ++term_;
+    charged([this] {
+      leader_.leads(false);
+      leader_.leads(true);
+    });
+    for (auto& box : boxes_) {
+      box->sent.clear();
+      box->replies.clear();
+      box->intake.leader_changed();
+    }
+  }
+
   /// The first `n` workers are lost for good, with what they run.
   void lose(int n) {
     for (int i = 0; i < n; ++i) callers_[i].lost = true;
@@ -140,12 +156,14 @@
     }
     if (clock_.now() % tick_interval == milliseconds(0)) box.intake.expire();
     if (clock_.now() % pass_on_interval != milliseconds(0)) return;
-    if (box.intake.has_news()) box.sent.push_back(box.intake.collect("leader"));
+    if (box.intake.has_news()) {
+      box.sent.push_back(box.intake.collect("leader" + std::to_string(term_)));
+    }
   }
 
   /// The next piece of work in turn; false where there is none.
   bool lead() {
-    constexpr int sources = 4 + intakes;
+    const int sources = 4 + setting_.intakes;
     for (int i = 0; i < sources; ++i) {
       at_ = (at_ + 1) % sources;
       const double cost = work(at_);
@@ -174,15 +192,18 @@
     }
     if (source == 2) {
       if (entries_.empty() || entries_.front().lasts > now) return 0;
-      apply();
-      return cost.entry;
+      return charged([this] { apply(); }, cost.entry - cost.turn);
     }
     if (source == 3) {
       if (submissions_.empty()) return 0;
-      leader_.request(submissions_.front(),
-                      [](const fleet::fleet_response&) {});
+      const double all = charged(
+          [this] {
+            leader_.request(submissions_.front(),
+                            [](const fleet::fleet_response&) {});
+          },
+          cost.entry - cost.turn);
       submissions_.pop_front();
-      return cost.entry;
+      return all;
     }
     return read(*boxes_[source - 4]);
   }
@@ -191,28 +212,35 @@
     if (box.sent.empty()) return 0;
     const fleet::beat_batch batch = std::move(box.sent.front());
     box.sent.pop_front();
-    const double all = charged([&] {
-      leader_.take_beats(batch, [this, &box](fleet::beat_answer answer) {
-        if (answer.response().has_orders()) ++answers_;
-        box.replies.push_back({clock_.now(), std::move(answer)});
-      });
-    });
-    return all + setting_.cost.read * batch.beats_size();
+    return charged(
+        [&] {
+          leader_.take_beats(batch, [this, &box](fleet::beat_answer answer) {
+            if (answer.response().has_orders()) ++out_.answers;
+            box.replies.push_back({clock_.now(), std::move(answer)});
+          });
+        },
+        setting_.cost.read * batch.beats_size());
   }
 
-  /// By what the leader counts of its looks and answers.
+  /// By what the leader counts of its looks and answers, `more` beside, or by
+  /// the processor time that it takes here.
   template <typename Work>
-  double charged(Work work) {
+  double charged(Work work, double more = 0) {
     uint64_t& looks = metrics_.counter("kestrelreel_placement_looks_total");
     uint64_t& rooms = metrics_.counter("kestrelreel_room_looks_total");
     const uint64_t looks_before = looks;
     const uint64_t rooms_before = rooms;
-    const uint64_t answers_before = answers_;
+    const uint64_t answers_before = out_.answers;
+    const double begun = thread_us();
     work();
+    const double took = thread_us() - begun;
+    out_.leader_us += took;
+    if (setting_.processor_share > 0) return took / setting_.processor_share;
     const costs& cost = setting_.cost;
-    return cost.turn + cost.look * static_cast<double>(looks - looks_before) +
+    return more + cost.turn +
+           cost.look * static_cast<double>(looks - looks_before) +
            cost.room_look * static_cast<double>(rooms - rooms_before) +
-           cost.answer * static_cast<double>(answers_ - answers_before);
+           cost.answer * static_cast<double>(out_.answers - answers_before);
   }
 
   void apply() {
@@ -256,7 +284,7 @@
 
   void turn_elsewhere(caller& c) {
     c.it.out = 0;
-    c.box = (c.box + 1) % intakes;
+    c.box = (c.box + 1) % setting_.intakes;
     c.it.next_call = clock_.now();
   }
 
@@ -367,7 +395,7 @@
   double due_jobs_ = 0;
   uint64_t short_jobs_ = 0;
   uint64_t lasting_jobs_ = 0;
-  uint64_t answers_ = 0;
+  uint64_t term_ = 1;
   int at_ = 0;
   time_point ticked_at_{};
   time_point settled_at_{};
--- /dev/null
+++ b/fleet/fleet-cost-test-parts.h
@@ -0,0 +1,64 @@
+// What a leader of many workers spends, measured on the busy leader's world.
+#pragma once
+
+#include "fleet/busy-leader-test-world.h"
+
+namespace kestrelreel::busy {
+
+/// Processor time that the leader takes, in microseconds.
+struct leader_costs {
+  /// Until each worker was answered for the first time.
+  double start_us = 0;
+  /// A second in which nothing happens.
+  double quiet_us = 0;
+  /// A second with jobs.
+  double loaded_us = 0;
+  /// The second after another box began to lead.
+  double change_us = 0;
+};
+
+constexpr milliseconds cost_second{1'000};
+/// Workers call for the first time within this.
+constexpr milliseconds cost_start{3'000};
+
+/// A fleet of so many workers; jobs grow with it.
+inline setting make_fleet(int workers) {
+  constexpr double jobs_per_s_a_worker = 34.0 / 6'000;
+  constexpr uint32_t wide = 50;
+  constexpr int workers_a_box = 600;
+  setting it{"fleet", workers, {}};
+  it.jobs_per_s = jobs_per_s_a_worker * workers;
+  it.width = wide;
+  // All that it does takes no time on the virtual clock.
+  it.processor_share = 1e9;
+  it.intakes = std::max(4, workers / workers_a_box);
+  it.first_calls = cost_start;
+  return it;
+}
+
+inline leader_costs measure_costs(int workers) {
+  setting it = make_fleet(workers);
+  const double jobs_per_s = std::exchange(it.jobs_per_s, 0);
+  busy_world world(it);
+  const auto spent = [&](milliseconds length) {
+    const double before = world.out().leader_us;
+    world.pass(length);
+    return (world.out().leader_us - before) * 1'000 /
+           static_cast<double>(length.count());
+  };
+  leader_costs out;
+  out.start_us = spent(cost_start) * static_cast<double>(cost_start.count()) /
+                 static_cast<double>(cost_second.count());
+  spent(cost_start);
+  out.quiet_us = spent(2 * cost_second);
+  world.set_jobs_per_s(jobs_per_s);
+  spent(cost_second);
+  out.loaded_us = spent(2 * cost_second);
+  world.set_jobs_per_s(0);
+  spent(cost_start);
+  world.change_leader();
+  out.change_us = spent(cost_second);
+  return out;
+}
+
+}  // namespace kestrelreel::busy
