Workers are found by name and place: a start is no longer quadratic

Callers saw a system that was down before the first request on 6,000 workers. Cause: each heartbeat of a worker that was not known (all of them at a start and after a change of leader) was compared with every known worker, by machine, address and name (life_before), and each heartbeat looked its name up in the sorted tree several times. Evidence: a profile of leader-benchmark at 6,000 workers, half of it in life_before, its string compares and its steps through the tree. Now an index by name, by place and by id answers the same questions.

--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -26,8 +26,35 @@
   }
 }
 
+void worker_table::clear() {
+  by_id_.clear();
+  by_name_.clear();
+  by_place_.clear();
+  marks_.clear();
+  watched_.clear();
+  shared_names_.clear();
+  views_.clear();
+}
+
+/// Out of all that refers to it.
+void worker_table::drop(worker_view& it) {
+  by_id_.erase(it.id.str());
+  by_name_.remove(name_of(it.id), it);
+  by_place_.remove(it.beat.machine(), it);
+  by_place_.remove(it.beat.address(), it);
+  marks_.remove(it);
+  watched_.erase({it.watch_at, it.ordinal});
+}
+
+void worker_table::erase(const worker_id& id) {
+  const auto found = views_.find(id);
+  if (found == views_.end()) return;
+  drop(found->second);
+  views_.erase(found);
+}
+
 void worker_table::end_life(const worker_id& id) {
-  views_.erase(id);
+  erase(id);
   if (over_.try_emplace(id).second) over_since_.emplace_back(clock_.now(), id);
   drop_old_lives();
 }
@@ -57,30 +84,47 @@
 }
 
 worker_view& worker_table::view_of(const worker_id& id) {
-  const auto [it, fresh] = views_.try_emplace(id);
-  if (!fresh) return it->second;
-  it->second.id = id;
+  if (worker_view* known = find(id)) return *known;
+  worker_view& it = views_[id];
+  it.id = id;
+  it.ordinal = ++last_ordinal_;
+  by_id_[it.id.str()] = &it;
   // Not before: a difference that comes first only asks for the whole.
   over_.erase(id);
   const std::string name = name_of(id);
+  by_name_.add(name, it, [](const auto* a, const auto* b) {
+    return born_of(a->id) < born_of(b->id);
+  });
   if (lives_of(name).size() > 1) shared_names_.insert(name);
-  return it->second;
+  marks_.freed.add(it);
+  watch(it, clock_.now());
+  return it;
 }
 
-std::vector<worker_view*> worker_table::lives_of(const std::string& name) {
-  std::vector<worker_view*> out;
-  if (const auto it = views_.find(worker_id(name)); it != views_.end()) {
-    out.push_back(&it->second);
-  }
-  const std::string prefix = str_cat(name, birth_mark);
-  for (auto it = views_.lower_bound(worker_id(prefix));
-       it != views_.end() && it->first.str().starts_with(prefix); ++it) {
-    out.push_back(&it->second);
+void worker_table::watch(worker_view& it, time_point at) {
+  watched_.erase({it.watch_at, it.ordinal});
+  it.watch_at = at;
+  watched_[{at, it.ordinal}] = &it;
+}
+
+std::vector<worker_view*> worker_table::due_for_watch() {
+  std::vector<worker_view*> due;
+  const time_point now = clock_.now();
+  for (const auto& [key, it] : watched_) {
+    if (key.first > now) break;
+    due.push_back(it);
   }
-  std::sort(out.begin(), out.end(), [](const auto* a, const auto* b) {
-    return born_of(a->id) < born_of(b->id);
-  });
-  return out;
+  return due;
+}
+
+void worker_table::take_place(worker_view& it, const fleet::worker_beat& beat) {
+  const auto move = [&](const std::string& from, const std::string& to) {
+    if (from == to && it.known) return;
+    if (!from.empty()) by_place_.remove(from, it);
+    if (!to.empty()) by_place_.add(to, it);
+  };
+  move(it.beat.machine(), beat.machine());
+  move(it.beat.address(), beat.address());
 }
 
 bool worker_table::has_earlier_life(const std::string& name) {
@@ -100,14 +144,14 @@
 
 /// Of several lives only the one that called last may be living.
 void worker_table::review_doubts(const std::string& name) {
-  const std::vector<worker_view*> lives = lives_of(name);
+  const std::vector<worker_view*>& lives = lives_of(name);
   time_point last{};
   for (const worker_view* it : lives) last = std::max(last, it->told);
   for (worker_view* it : lives) it->doubtful = it->told < last;
 }
 
 const worker_view* worker_table::later_life(const worker_id& id) {
-  const std::vector<worker_view*> lives = lives_of(name_of(id));
+  const std::vector<worker_view*>& lives = lives_of(name_of(id));
   if (lives.empty() || born_of(lives.back()->id) <= born_of(id)) return nullptr;
   return lives.back();
 }
@@ -120,23 +164,21 @@
 
 std::optional<worker_id> worker_table::life_before(
     const worker_view& it) const {
-  const auto same = [](const std::string& a, const std::string& b) {
-    return !a.empty() && a == b;
-  };
-  for (const auto& [id, o] : views_) {
-    if (id == it.id || o.told >= it.first_told) continue;
-    if (same(o.beat.address(), it.beat.address()) ||
-        same(o.beat.machine(), it.beat.machine()) ||
-        name_of(id) == name_of(it.id)) {
-      return id;
+  std::optional<worker_id> first;
+  for (const auto& neighbours :
+       {at_place(it.beat.address()), at_place(it.beat.machine()),
+        lives_of(name_of(it.id))}) {
+    for (const worker_view* o : neighbours) {
+      if (o == &it || o->told >= it.first_told) continue;
+      if (!first || o->id < *first) first = o->id;
     }
   }
-  return std::nullopt;
+  return first;
 }
 
 worker_view* worker_table::find(const worker_id& id) {
-  const auto it = views_.find(id);
-  return it == views_.end() ? nullptr : &it->second;
+  const auto it = by_id_.find(id.str());
+  return it == by_id_.end() ? nullptr : it->second;
 }
 
 /// The least offset seen belongs to the heartbeat that travelled fastest; a
@@ -197,21 +239,22 @@
 worker_table::arrival worker_table::heard(const fleet::worker_beat& beat) {
   const worker_id id = life_of(beat);
   const bool differs = beat.base() != 0;
-  const auto found = views_.find(id);
-  const bool known = found != views_.end() && found->second.known;
+  const worker_view* found = find(id);
+  const bool known = found != nullptr && found->known;
   if (known) {
-    const worker_view& view = found->second;
+    const worker_view& view = *found;
     const beat_order order = order_of(view.beat, view.told, beat, clock_.now());
     if (order == beat_order::overtaken) return {};
     if (order == beat_order::misfit) return {nullptr, false, false, true};
   }
-  if (differs && (!known || found->second.beat.sequence() != beat.base())) {
+  if (differs && (!known || found->beat.sequence() != beat.base())) {
     return {nullptr, false, true};
   }
   worker_view& it = view_of(id);
   const time_point now = clock_.now();
   const bool timely = is_timely(it, beat);
   if (!differs) {
+    take_place(it, beat);
     take_whole(it, beat);
   } else if (!take_difference(it, beat)) {
     // All of it comes under the same sequence, and nothing may build on this.
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -9,6 +9,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,7 @@
 #include "fleet/task-key.h"
 #include "fleet/worker-life.h"
 #include "fleet/worker-load.h"
+#include "fleet/worker-set.h"
 #include "proto/fleet.pb.h"
 
 namespace kestrelreel {
@@ -65,6 +68,10 @@
 /// One life of a worker.
 struct worker_view {
   worker_id id;
+  /// Rises from worker to worker, in the order in which they became known.
+  uint64_t ordinal = 0;
+  /// When it is to be looked at for silence.
+  time_point watch_at{};
   /// The last heartbeat, without its rows.
   fleet::worker_beat beat;
   /// When the last heartbeat came whose answer still counts; `known` is false
@@ -164,10 +171,7 @@
 
   /// Forgets all; each worker that may run something is taken in with
   /// `expect`.
-  void clear() {
-    views_.clear();
-    shared_names_.clear();
-  }
+  void clear();
   /// True for a life that began to call just now at the place of another one:
   /// whether that one crashed will be known in a moment.
   bool is_unsettled(const worker_view& it) const {
@@ -190,7 +194,7 @@
     bool misfit = false;
   };
   arrival heard(const fleet::worker_beat& beat);
-  void erase(const worker_id& id) { views_.erase(id); }
+  void erase(const worker_id& id);
   /// Forgets a worker whose life is surely over, but for that: a heartbeat of
   /// it that comes later must not pass for a new life.
   void end_life(const worker_id& id);
@@ -204,12 +208,24 @@
   /// may be set back.
   bool stays_over(const fleet::worker_beat& beat);
   worker_view* find(const worker_id& id);
-  /// The lives of that name that are not known to be over, the last born last.
-  std::vector<worker_view*> lives_of(const std::string& name);
+  /// The lives of that name that are not known to be over, the last born last;
+  /// until a worker comes or goes.
+  const std::vector<worker_view*>& lives_of(const std::string& name) const {
+    return by_name_.at(name);
+  }
+  /// Those that name this machine, or this address.
+  const std::vector<worker_view*>& at_place(const std::string& place) const {
+    return by_place_.at(place);
+  }
   /// True when a life of that name is over, or several are there.
   bool has_earlier_life(const std::string& name);
   /// Names of which there are several lives; looked at anew with each call.
   std::set<std::string> shared_names();
+  /// To be looked at for silence then, and not before.
+  void watch(worker_view& it, time_point at);
+  /// The workers that are to be looked at by now; each is to be watched anew.
+  std::vector<worker_view*> due_for_watch();
+  worker_marks& marks() { return marks_; }
   std::map<worker_id, worker_view>& views() { return views_; }
   const std::map<worker_id, worker_view>& views() const { return views_; }
   const lease_settings& leases() const { return leases_; }
@@ -223,6 +239,8 @@
   static void take_whole(worker_view& it, const fleet::worker_beat& beat);
   static bool take_difference(worker_view& it, const fleet::worker_beat& beat);
   worker_view& view_of(const worker_id& id);
+  void drop(worker_view& it);
+  void take_place(worker_view& it, const fleet::worker_beat& beat);
   std::optional<worker_id> life_before(const worker_view& it) const;
   const worker_view* later_life(const worker_id& id);
   void review_doubts(const std::string& name);
@@ -231,6 +249,14 @@
   lease_settings leases_;
   clock_source& clock_;
   std::map<worker_id, worker_view> views_;
+  std::unordered_map<std::string_view, worker_view*> by_id_;
+  // Sorted by birth.
+  worker_index by_name_;
+  // By machine and by address.
+  worker_index by_place_;
+  worker_marks marks_;
+  std::map<std::pair<time_point, uint64_t>, worker_view*> watched_;
+  uint64_t last_ordinal_ = 0;
   // Names that had several lives when last looked at.
   std::set<std::string> shared_names_;
   /// The first heartbeat that came of a life that is over.
