What is due is kept in sets: no turn or tick looks through all workers

Cause: due_answers, take_freed, the proposals of a plan, the reviews of silence, leaves and unsent starts, kept rooms and moves each went through all workers, up to 66 turns and 10 ticks a second, mostly to find nothing. Now who brings such a thing about marks the worker, and the silent are found by when they are due.

--- a/fleet/controller-lives.cc
+++ b/fleet/controller-lives.cc
@@ -27,7 +27,7 @@
 /// What shows that another writer sent the heartbeat; null where nothing does.
 /// A worker whose pool went out of the configuration runs what it runs.
 const char* fleet_controller::fault_of(const fleet::worker_beat& beat) {
-  const std::vector<worker_view*> lives = workers_.lives_of(beat.worker());
+  const std::vector<worker_view*>& lives = workers_.lives_of(beat.worker());
   const bool told =
       !lives.empty() && lives.back()->known && born_of(lives.back()->id) > 0;
   if (told && beat.born() == 0) return "no birth";
@@ -78,7 +78,7 @@
 std::optional<worker_id> fleet_controller::leaver_of(const std::string& name,
                                                      uint64_t born) {
   if (born > 0) return life_of(name, born);
-  const std::vector<worker_view*> lives = workers_.lives_of(name);
+  const std::vector<worker_view*>& lives = workers_.lives_of(name);
   const bool earlier = workers_.has_earlier_life(name);
   if (lives.empty() && !earlier) return worker_id(name);
   const auto drains = [](const worker_view* it) {
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -94,11 +94,11 @@
 /// each answer comes when its worker has turned elsewhere.
 std::vector<worker_view*> fleet_controller::due_answers() {
   std::vector<worker_view*> due;
-  for (auto& [id, it] : workers_.views()) {
-    if (it.respond && !give_up_late(it) && answer_is_due(it)) {
-      due.push_back(&it);
-    }
-  }
+  workers_.marks().calling.review([&](worker_view& it) {
+    if (!it.respond || give_up_late(it)) return false;
+    if (answer_is_due(it)) due.push_back(&it);
+    return true;
+  });
   const size_t most = settings_.most_answers * leader_lag::usual_percent /
                       lag_.stretch_percent();
   answers_left_ = due.size() > most;
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
-#include <string_view>
-#include <unordered_map>
+#include <string>
 
 #include "fleet/controller.h"
 #include "kernel/log.h"
@@ -42,19 +41,6 @@
 /// Such runs are looked for with a pause of so much for each worker: a look at
 /// a worker's runs takes 2 us.
 constexpr std::chrono::microseconds unstarted_pause{400};
-/// Workers by the machine and by the address that they name.
-using place_index =
-    std::unordered_multimap<std::string_view, const worker_view*>;
-
-place_index make_place_index(const std::map<worker_id, worker_view>& views) {
-  place_index index;
-  for (const auto& [id, it] : views) {
-    if (!it.beat.machine().empty()) index.emplace(it.beat.machine(), &it);
-    if (!it.beat.address().empty()) index.emplace(it.beat.address(), &it);
-  }
-  return index;
-}
-
 /// True when `o` shows that the life of `it`, at the same place, is over: a
 /// heartbeat of an earlier life may arrive after the next one began, even
 /// several at once after a cut. Only a worker that has called for a while, by
@@ -69,16 +55,15 @@
          own_clock >= least;
 }
 
-bool is_replaced(const place_index& index, const worker_view& it,
+bool is_replaced(const worker_table& workers, const worker_view& it,
                  milliseconds patience) {
-  for (const std::string& place : {it.beat.machine(), it.beat.address()}) {
-    const auto [first, last] = index.equal_range(place);
-    const bool found = std::any_of(first, last, [&](const auto& other) {
-      return outlives(*other.second, it, patience);
+  const auto outlived_at = [&](const std::string& place) {
+    const auto& all = workers.at_place(place);
+    return std::any_of(all.begin(), all.end(), [&](const worker_view* other) {
+      return outlives(*other, it, patience);
     });
-    if (found) return true;
-  }
-  return false;
+  };
+  return outlived_at(it.beat.machine()) || outlived_at(it.beat.address());
 }
 
 }  // namespace detail
@@ -200,7 +185,7 @@
 /// life whose runs go on.
 void fleet_controller::review_restarts() {
   for (const std::string& name : workers_.shared_names()) {
-    const std::vector<worker_view*> lives = workers_.lives_of(name);
+    const std::vector<worker_view*>& lives = workers_.lives_of(name);
     for (worker_view* it : lives) {
       if (losing_.contains(it->id)) continue;
       const bool over =
@@ -218,26 +203,24 @@
 /// begun another life.
 void fleet_controller::review_silence() {
   const time_point now = clock_.now();
-  std::optional<detail::place_index> places;
-  for (auto& entry : workers_.views()) {
-    const worker_id& id = entry.first;
-    worker_view& it = entry.second;
-    if (now - it.told < detail::dead_after || losing_.contains(id)) continue;
-    if (it.left_at) continue;
-    const auto& alive = book_.runs_on(id);
+  for (worker_view* due : workers_.due_for_watch()) {
+    worker_view& it = *due;
+    const bool spoke = now - it.told < detail::dead_after;
+    workers_.watch(it, spoke ? it.told + detail::dead_after : now);
+    if (spoke || it.left_at || losing_.contains(it.id)) continue;
+    const auto& alive = book_.runs_on(it.id);
     const bool over = now >= it.over_at + patience();
-    if (!places) places = detail::make_place_index(workers_.views());
     loss_cause cause = loss_cause::lease;
     if (now >= it.over_at + detail::forget_worker_after) {
       cause = loss_cause::silent;
     }
     // One that this leader never heard may be about to call.
     const bool silent = it.known || now - led_since_ >= detail::dead_after;
-    if (silent && detail::is_replaced(*places, it, patience())) {
+    if (silent && detail::is_replaced(workers_, it, patience())) {
       cause = loss_cause::replaced;
     }
-    const bool due = over && !alive.empty();
-    if (cause == loss_cause::lease && !due) continue;
+    const bool lapsed = over && !alive.empty();
+    if (cause == loss_cause::lease && !lapsed) continue;
     if (cause == loss_cause::lease) {
       it.lapsed.insert(alive.begin(), alive.end());
     }
@@ -252,20 +235,22 @@
 void fleet_controller::review_leaves() {
   const lease_settings& leases = workers_.leases();
   const milliseconds wait = leases.answer_limit + leases.slack + patience();
-  for (auto& [id, it] : workers_.views()) {
-    if (!it.left_at || losing_.contains(id)) continue;
+  workers_.marks().left.review([&](worker_view& it) {
+    if (!it.left_at) return false;
+    if (losing_.contains(it.id)) return true;
     std::vector<run_key> lasting;
-    for (const run_key& run : book_.runs_on(id)) {
+    for (const run_key& run : book_.runs_on(it.id)) {
       if (is_lasting(run)) lasting.push_back(run);
     }
     if (!lasting.empty()) {
       propose_loss(it, lasting, loss_cause::left_serving);
-      continue;
+      return true;
     }
-    if (clock_.now() - std::max(*it.left_at, it.told) < wait) continue;
-    const auto& alive = book_.runs_on(id);
+    if (clock_.now() - std::max(*it.left_at, it.told) < wait) return true;
+    const auto& alive = book_.runs_on(it.id);
     propose_loss(it, {alive.begin(), alive.end()}, loss_cause::left);
-  }
+    return true;
+  });
 }
 
 /// A run that must not start any more, and that its worker does not list long
@@ -292,20 +277,22 @@
 /// can't begin, and while it is being taken back nobody is.
 void fleet_controller::review_unsent() {
   const time_point now = clock_.now();
-  for (auto& [id, it] : workers_.views()) {
-    if (it.unsent.empty() || losing_.contains(id)) continue;
-    const auto& runs = book_.runs_on(id);
+  workers_.marks().unsent.review([&](worker_view& it) {
+    if (it.unsent.empty()) return false;
+    if (losing_.contains(it.id)) return true;
+    const auto& runs = book_.runs_on(it.id);
     std::erase_if(it.unsent,
                   [&runs](const auto& p) { return !runs.contains(p.first); });
     std::vector<run_key> over;
     for (const auto& [run, since] : it.unsent) {
       if (now - since >= detail::most_unsent) over.push_back(run);
     }
-    if (over.empty()) continue;
+    if (over.empty()) return !it.unsent.empty();
     for (const run_key& run : over) it.unsent.erase(run);
     it.taken_back_at = now;
     propose_loss(it, over, loss_cause::unsent);
-  }
+    return !it.unsent.empty();
+  });
 }
 
 void fleet_controller::review_all_unstarted() {
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -113,6 +113,7 @@
   }
   it->respond = respond;
   it->asked = clock_.now();
+  workers_.marks().calling.add(*it);
   pace_if_due(*it);
   unsettled_ = true;
 }
@@ -297,7 +298,10 @@
     const run_key run{to_key(it.task()), run_number(it.run())};
     // What was counted as proposed counts on, unless the book left it out.
     const bool counted = view->proposed.erase(run) > 0;
-    if (counted && leads_) view->unsent[run] = clock_.now();
+    if (counted && leads_) {
+      view->unsent[run] = clock_.now();
+      workers_.marks().unsent.add(*view);
+    }
     if (!counted || !book_.runs_on(view->id).contains(run)) {
       view->load_is_old = true;
     }
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -272,13 +272,16 @@
 
 void fleet_controller::runs_changed(const std::string& worker) {
   worker_view* it = workers_.find(worker_id(worker));
-  if (it != nullptr) it->load_is_old = it->freed = true;
+  if (it == nullptr) return;
+  it->load_is_old = it->freed = true;
+  workers_.marks().freed.add(*it);
 }
 
 void fleet_controller::note_left(const std::string& worker) {
   worker_view& it = workers_.expect(worker_id(worker));
   it.leaves = true;
   if (!it.left_at) it.left_at = clock_.now();
+  workers_.marks().left.add(it);
 }
 
 /// A call of the worker that still waits is answered: it calls anew.
--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -218,8 +218,7 @@
 size_t fleet_scheduler::drop_rooms() {
   std::map<task_key, uint32_t> wanted;
   size_t n = 0;
-  for (auto& [id, it] : workers_.views()) {
-    if (it.kept.empty()) continue;
+  workers_.marks().with_rooms.review([&](worker_view& it) {
     const bool usable = is_usable(it);
     std::erase_if(it.kept, [&](const kept_room& kept) {
       if (!usable || kept.until <= clock_.now()) return true;
@@ -230,7 +229,8 @@
       return false;
     });
     n += it.kept.size();
-  }
+    return !it.kept.empty();
+  });
   return n;
 }
 
@@ -254,14 +254,15 @@
 std::optional<fleet_scheduler::room_place> fleet_scheduler::lesser_room(
     uint32_t priority) {
   std::optional<room_place> out;
-  for (auto& [id, it] : workers_.views()) {
+  workers_.marks().with_rooms.review([&](worker_view& it) {
     for (size_t i = 0; i < it.kept.size(); ++i) {
       const uint32_t own = priority_of(it.kept[i].step);
       if (own <= priority) continue;
       priority = own;
       out = room_place{&it, i};
     }
-  }
+    return !it.kept.empty();
+  });
   return out;
 }
 
@@ -343,9 +344,10 @@
       std::max<size_t>(1, settings_.most_worker_looks / std::max<size_t>(1, n));
   out.all = drop_rooms();
   std::map<task_key, uint32_t> have;
-  for (const auto& [id, it] : workers_.views()) {
+  workers_.marks().with_rooms.review([&](const worker_view& it) {
     for (const kept_room& room : it.kept) ++have[room.step];
-  }
+    return !it.kept.empty();
+  });
   milliseconds longest{0};
   const std::vector<long_wait> waits = long_waits(settings_.keep_after);
   // Else the first ones, looked at again and again, would leave none to others.
@@ -372,6 +374,7 @@
                                 std::vector<worker_ways>& workers,
                                 room_look& look) {
   const fleet::step_spec& spec = step.spec;
+  workers_.marks().with_rooms.add(*it.where);
   it.where->kept.push_back({step.first, spec.cpu_milli(), spec.memory_mb(),
                             spec.accelerators(),
                             clock_.now() + settings_.keep_for});
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -152,6 +152,7 @@
                 [&](const auto& p) { return !it.rows.contains(p.first); });
   for (const fill_task& fill : fills) {
     if (fill.share < detail::held_share) {
+      workers_.marks().held_back.add(it);
       const auto since = it.held_since.try_emplace(fill.run, it.heard).first;
       if (it.heard - since->second >= detail::move_after) {
         it.unfit_until[fill.image] = it.heard + detail::unfit_time;
@@ -203,12 +204,11 @@
   std::vector<run_key> runs;
   std::vector<worker_view*> all;
   size_t looks = 0;
-  auto& views = workers_.views();
-  auto it = views.upper_bound(moves_from_);
-  for (size_t n = views.size(); n > 0; --n, ++it) {
-    if (it == views.end()) it = views.begin();
-    moves_from_ = it->first;
-    worker_view& from = it->second;
+  worker_set& held_back = workers_.marks().held_back;
+  held_back.review([](const auto& it) { return !it.held_since.empty(); });
+  for (worker_view* held : held_back.from(moves_from_)) {
+    worker_view& from = *held;
+    moves_from_ = from.ordinal;
     for (const auto& [run, since] : from.held_since) {
       if (!may_move(from, run)) continue;
       if (runs.size() >= detail::most_moves) return runs;
--- a/fleet/placing.cc
+++ b/fleet/placing.cc
@@ -120,6 +120,7 @@
     report_late_start(it, spec.long_running());
     proposed_[it.task] = it.where->id;
     it.where->proposed[{it.task, it.run}] = spec;
+    workers_.marks().proposing.add(*it.where);
     fleet::run_start& start = *out.add_starts();
     *start.mutable_task() = to_ref(it.task);
     start.set_run(static_cast<uint32_t>(it.run.value()));
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -175,9 +175,10 @@
   wall_ms_ = wall_ms;
   wall_told_at_ = clock_.now();
   proposed_.clear();
-  for (const auto& [id, it] : workers_.views()) {
-    for (const auto& [run, step] : it.proposed) proposed_[run.task] = id;
-  }
+  workers_.marks().proposing.review([this](worker_view& it) {
+    for (const auto& [run, step] : it.proposed) proposed_[run.task] = it.id;
+    return !it.proposed.empty();
+  });
   note_tries();
   fleet::run_starts out;
   freed_ = take_freed();
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -436,8 +436,8 @@
   // The time of day, and when it was told.
   uint64_t wall_ms_ = 0;
   time_point wall_told_at_{};
-  // Where the last look for runs to move ended.
-  worker_id moves_from_;
+  // Where the last look for runs to move ended: the worker's ordinal.
+  uint64_t moves_from_ = 0;
   uint64_t looks_ = 0;
 };
 
--- a/fleet/waiting-steps.cc
+++ b/fleet/waiting-steps.cc
@@ -52,9 +52,9 @@
 std::vector<worker_view*> fleet_scheduler::take_freed() {
   std::vector<worker_view*> out;
   freed_most_ = {};
-  for (auto& [id, it] : workers_.views()) {
-    if (!std::exchange(it.freed, false) || !is_usable(it)) continue;
-    if (only_open_ && !is_open(it)) continue;
+  workers_.marks().freed.review([&](worker_view& it) {
+    if (!std::exchange(it.freed, false) || !is_usable(it)) return false;
+    if (only_open_ && !is_open(it)) return false;
     if (std::exchange(it.load_is_old, false)) it.load = load_of(it);
     const auto rest = [](uint64_t all, uint64_t taken) {
       return all - std::min(all, taken);
@@ -67,7 +67,8 @@
         std::max(freed_most_.accelerators,
                  rest(it.beat.accelerators(), it.load.accelerators));
     out.push_back(&it);
-  }
+    return false;
+  });
   return out;
 }
 
--- a/fleet/waits.cc
+++ b/fleet/waits.cc
@@ -271,9 +271,11 @@
     return true;
   };
   if (drop(where)) return;
-  for (auto& [id, it] : workers_.views()) {
-    if (drop(it)) return;
-  }
+  bool dropped = false;
+  workers_.marks().with_rooms.review([&](worker_view& it) {
+    dropped = dropped || drop(it);
+    return !it.kept.empty();
+  });
 }
 
 }  // namespace kestrelreel
