Voters are bounded and spread; learners get the log with the heartbeats

Cause: every control box became a voter: 25 on the fleet where 5 are wanted, so that each entry and each commit cost the leader 24 messages and 24 answers. Now learners stay learners while as many voters answer as are wanted; the next voter is one of the data centre with the fewest, it takes the place of a silent one, and no commit waits for a learner.

--- a/consensus/raft-members-test.cc
+++ b/consensus/raft-members-test.cc
@@ -92,25 +92,32 @@
   int failed = 0;
 };
 
-proto::membership voters(unsigned n) {
+/// Learners are named on from the voters.
+proto::membership members_of(unsigned n, unsigned learners) {
   proto::membership members;
   for (unsigned i = 0; i < n; ++i) {
     proto::replica& it = *members.add_voters();
     it.set_box(str_cat("b", i));
     it.set_identity("founder");
   }
+  for (unsigned i = n; i < n + learners; ++i) {
+    proto::replica& it = *members.add_learners();
+    it.set_box(str_cat("b", i));
+    it.set_identity("founder");
+  }
   return members;
 }
 
 /// A box of `n` voters: itself, and others that answer while `answers`.
 struct box_run {
-  box_run(unsigned n, unsigned wanted) : random(7) {
+  box_run(unsigned n, unsigned wanted, unsigned learners = 0) : random(7) {
     raft_settings settings;
     settings.self = box_id("b0");
     settings.identity = "founder";
     settings.wanted_voters = wanted;
     settings.slow_write_ticks = 4;
-    auto store = log_store::create(folder, settings.self, "founder", voters(n));
+    auto store = log_store::create(folder, settings.self, "founder",
+                                   members_of(n, learners));
     it = std::make_unique<replica>(settings, random, std::move(*store), queue,
                                    host);
   }
@@ -174,6 +181,69 @@
   }
 }
 
+TEST(raft_members, every_control_box_voted) {
+  // All learners were promoted, however many voters there were.
+  struct row {
+    unsigned voters;
+    unsigned learners;
+    unsigned wanted;
+    int left;
+  };
+  const row rows[] = {{3, 22, 5, 5}, {3, 1, 5, 4}, {5, 4, 5, 5}, {3, 2, 0, 5}};
+  for (const row& it : rows) {
+    box_run run(it.voters, it.wanted, it.learners);
+    for (int i = 0; i < 200; ++i) {
+      run.tick([](const std::string&) { return true; });
+    }
+    LONGS_EQUAL(it.left, run.it->state().members().voters_size());
+  }
+}
+
+TEST(raft_members, learner_takes_the_place_of_a_silent_voter) {
+  box_run run(3, 3, 2);
+  for (int i = 0; i < 40; ++i)
+    run.tick([](const std::string&) { return true; });
+  const auto but_b1 = [](const std::string& box) { return box != "b1"; };
+  for (int i = 0; i < 80; ++i) run.tick(but_b1);
+  const proto::membership& members = run.it->state().members();
+  LONGS_EQUAL(3, members.voters_size());
+  CHECK_TRUE(find_voter(members, "b1") == nullptr);
+}
+
+TEST(raft_members, voters_are_spread_over_the_data_centres) {
+  box_run run(3, 5, 6);
+  // b3 to b5 stand with the founders, b6 to b8 elsewhere.
+  const char* places[] = {"x", "y", "z", "x", "y", "z", "u", "v", "v"};
+  for (unsigned i = 0; i < 9; ++i) {
+    run.it->know_place(box_id(str_cat("b", i)), data_centre_id(places[i]));
+  }
+  for (int i = 0; i < 100; ++i) {
+    run.tick([](const std::string&) { return true; });
+  }
+  const proto::membership& members = run.it->state().members();
+  LONGS_EQUAL(5, members.voters_size());
+  CHECK_TRUE(find_voter(members, "b6") != nullptr);
+  CHECK_TRUE((find_voter(members, "b7") != nullptr) !=
+             (find_voter(members, "b8") != nullptr));
+}
+
+TEST(raft_members, entries_went_to_each_learner_by_themselves) {
+  box_run run(3, 3, 2);
+  const auto all = [](const std::string&) { return true; };
+  for (int i = 0; i < 40; ++i) run.tick(all);
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 50; ++i) {
+    CHECK_TRUE(run.it->propose("a").ok());
+    run.tick([&](const std::string& box) {
+      ++sent[box];
+      return true;
+    });
+  }
+  CHECK_TRUE(sent["b1"] >= 100);
+  // With each second tick a heartbeat, and one answer to it.
+  CHECK_TRUE(sent["b3"] <= 2 * 50 / 2);
+}
+
 TEST(raft_members, full_disk_is_waited_out) {
   box_run run(1, 0);
   const auto none = [](const std::string&) { return false; };
--- a/consensus/raft-replication.cc
+++ b/consensus/raft-replication.cc
@@ -136,11 +136,25 @@
   it.match = std::max(it.match, m.match());
   it.next = std::max(it.next, it.match + 1);
   advance_commit();
-  send_append(m.from(), it, false);
+  if (!feeds_slowly(it)) send_append(m.from(), it, false);
 }
 
 void raft::broadcast(bool heartbeat) {
-  for (auto& [box, it] : progress_) send_append(box, it, heartbeat);
+  for (auto& [box, it] : progress_) {
+    if (heartbeat || !feeds_slowly(it)) send_append(box, it, heartbeat);
+  }
+}
+
+/// No commit waits for a learner: one that has caught up gets the log with the
+/// heartbeats, so that what an entry costs the leader goes with the voters.
+bool raft::feeds_slowly(const progress& it) const {
+  return it.learner && it.next > told_commit_;
+}
+
+void raft::send_commit() {
+  for (auto& [box, it] : progress_) {
+    if (!it.learner) send_append(box, it, true);
+  }
 }
 
 void raft::send_append(const std::string& box, progress& it, bool heartbeat) {
@@ -180,12 +194,12 @@
   });
   if (index <= commit_ || log_.term_at(index) != term_) return;
   commit_ = index;
-  broadcast(true);
+  send_commit();
 }
 
 void raft::refresh_progress() {
   std::map<std::string, progress> fresh;
-  const auto keep = [&](const proto::replica& member) {
+  const auto keep = [&](const proto::replica& member, bool learner) {
     if (member.box() == settings_.self.str()) return;
     progress& it = fresh[member.box()];
     const auto old = progress_.find(member.box());
@@ -194,9 +208,10 @@
     if (same) it = old->second;
     if (!same) it.next = log_.last_index() + 1;
     it.identity = member.identity();
+    it.learner = learner;
   };
-  for (const proto::replica& it : members().voters()) keep(it);
-  for (const proto::replica& it : members().learners()) keep(it);
+  for (const proto::replica& it : members().voters()) keep(it, false);
+  for (const proto::replica& it : members().learners()) keep(it, true);
   progress_ = std::move(fresh);
 }
 
@@ -247,17 +262,53 @@
   return false;
 }
 
+/// True while fewer voters answer than there should be.
+bool raft::wants_voter() const {
+  if (settings_.wanted_voters == 0) return true;
+  const auto& voters = members().voters();
+  const auto n = std::count_if(voters.begin(), voters.end(), [&](auto& it) {
+    const auto found = progress_.find(it.box());
+    return it.box() == settings_.self.str() ||
+           (found != progress_.end() &&
+            found->second.silent_ticks < settings_.silent_ticks);
+  });
+  return static_cast<unsigned>(n) < settings_.wanted_voters;
+}
+
+/// How many voters stand in the box's data centre.
+unsigned raft::voters_at(const std::string& box) const {
+  const auto place = places_.find(box);
+  if (place == places_.end()) return 0;
+  const auto& voters = members().voters();
+  return static_cast<unsigned>(
+      std::count_if(voters.begin(), voters.end(), [&](auto& it) {
+        const auto found = places_.find(it.box());
+        return found != places_.end() && found->second == place->second;
+      }));
+}
+
+bool raft::is_caught_up(const progress& it) const {
+  return it.silent_ticks <= settings_.heartbeat_ticks &&
+         it.match >= std::min(commit_, told_commit_);
+}
+
+/// Of the learners that hold the log one in the data centre with the fewest
+/// voters.
 bool raft::promote_learner() {
+  if (!wants_voter()) return false;
+  const proto::replica* best = nullptr;
   for (const proto::replica& learner : members().learners()) {
     const auto it = progress_.find(learner.box());
-    if (it == progress_.end()) continue;
-    const bool lately = it->second.silent_ticks <= settings_.heartbeat_ticks;
-    if (!lately || it->second.match < commit_) continue;
-    proto::membership next = without_box(members(), learner.box());
-    *next.add_voters() = learner;
-    return propose_membership(next).ok();
+    if (it == progress_.end() || !is_caught_up(it->second)) continue;
+    const bool better =
+        best == nullptr || voters_at(learner.box()) < voters_at(best->box());
+    if (better) best = &learner;
   }
-  return false;
+  if (best == nullptr) return false;
+  const proto::replica chosen = *best;
+  proto::membership next = without_box(members(), chosen.box());
+  *next.add_voters() = chosen;
+  return propose_membership(next).ok();
 }
 
 std::optional<persist_batch> raft::next_batch() {
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -74,6 +74,10 @@
   return m;
 }
 
+void raft::know_place(const box_id& box, const data_centre_id& place) {
+  places_[box.str()] = place;
+}
+
 void raft::know_replica_box(const box_id& box) {
   auto& boxes = settings_.replica_boxes;
   if (std::find(boxes.begin(), boxes.end(), box) == boxes.end()) {
@@ -118,6 +122,7 @@
   if (++heartbeat_wait_ < settings_.heartbeat_ticks) return;
   heartbeat_wait_ = 0;
   ++round_;
+  told_commit_ = commit_;
   broadcast(true);
 }
 
@@ -179,6 +184,7 @@
   quiet_ticks_ = 0;
   heartbeat_wait_ = 0;
   round_ = 0;
+  told_commit_ = commit_;
   progress_.clear();
   strangers_.clear();
   refresh_progress();
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -43,8 +43,9 @@
   /// Boxes that have a data folder; a replica without members tells them that
   /// it exists.
   std::vector<box_id> replica_boxes;
-  /// Voters that the cluster should have; a voter that falls silent while
-  /// there are more leaves for good. 0 never removes one.
+  /// Voters that the cluster should have. While so many answer, learners stay
+  /// learners; a voter that falls silent while there are more leaves for good.
+  /// 0 bounds nothing and never removes one.
   unsigned wanted_voters = 0;
   /// A replica that starts votes for nobody for the least election time, as it
   /// has forgotten which leader it answered. Only tests turn it off.
@@ -104,6 +105,8 @@
   void transfer_leadership();
   /// Boxes that may hold a replica, beside those of the settings.
   void know_replica_box(const box_id& box);
+  /// Where a box stands: voters are spread over the data centres.
+  void know_place(const box_id& box, const data_centre_id& place);
   /// Takes the actions that have come up. At most one batch is out at a time.
   raft_actions take();
   /// The last batch taken is on the disk.
@@ -144,6 +147,7 @@
     unsigned silent_ticks = 0;
     unsigned install_wait = 0;
     uint64_t round = 0;
+    bool learner = false;
   };
 
   // Elections: raft.cc.
@@ -171,6 +175,8 @@
   void send_append(const std::string& box, progress& it, bool heartbeat);
   void send_install(const std::string& box, progress& it);
   void broadcast(bool heartbeat);
+  void send_commit();
+  bool feeds_slowly(const progress& it) const;
   void advance_commit();
   void truncate_from(uint64_t index);
   void note_membership(const proto::log_entry& entry);
@@ -178,6 +184,9 @@
   void review_membership();
   bool membership_settled() const;
   bool admit_stranger();
+  bool wants_voter() const;
+  unsigned voters_at(const std::string& box) const;
+  bool is_caught_up(const progress& it) const;
   bool promote_learner();
   bool remove_surplus();
   std::optional<persist_batch> next_batch();
@@ -208,6 +217,9 @@
   std::set<std::string> votes_;
   std::map<std::string, progress> progress_;
   std::map<std::string, std::string> strangers_;
+  std::map<std::string, data_centre_id> places_;
+  // What was committed when the last heartbeat went out.
+  uint64_t told_commit_ = 0;
 
   bool hard_dirty_ = false;
   uint64_t unstable_from_ = 1;
--- a/consensus/replica.h
+++ b/consensus/replica.h
@@ -68,6 +68,11 @@
   /// Boxes that may hold a replica, beside those of the settings.
   void know_replica_box(const box_id& box) { raft_.know_replica_box(box); }
 
+  /// Where a box stands.
+  void know_place(const box_id& box, const data_centre_id& place) {
+    raft_.know_place(box, place);
+  }
+
   /// The state machine, for reading.
   const raft& state() const { return raft_; }
 
--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -133,6 +133,7 @@
   replica_ = std::make_unique<replica>(std::move(settings), context_.random,
                                        std::move(*store), *disk_thread_, *this,
                                        compaction);
+  replica_->know_place(context_.settings.box, context_.settings.data_centre);
   return absl::OkStatus();
 }
 
@@ -234,6 +235,9 @@
   // An answer to what asks for none would go to and fro between two control
   // boxes as fast as they can read: 7,000 wake-ups a second on idle boxes.
   directory_.heard(from, frame.hello(), context_.clock.now());
+  if (!frame.hello().data_centre().empty()) {
+    replica_->know_place(from, data_centre_id(frame.hello().data_centre()));
+  }
   if (frame.hello().asks() && stream) stream->send(hello());
 }
 
