A search for the leader greets a few control boxes at a time

Cause: while none was known to decide each entry box greeted each control box each 250 ms: 583 x 25 x 4 = 58,000 a second on the fleet, when the leader has least to spare. Now eight in that time, those first that are named as the leader, then those greeted longest ago: 18,700. Deployments with up to eight control boxes search as before.

--- a/daemon/leader-finder-test.cc
+++ b/daemon/leader-finder-test.cc
@@ -1,6 +1,9 @@
 // Which control box an entry box turns to.
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+#include <string>
+
 #include "daemon/leader-finder.h"
 
 using namespace kestrelreel;
@@ -94,3 +97,23 @@
     STRCMP_EQUAL(it.second, finder.target(now).str().c_str());
   }
 }
+
+TEST(leader_finder, every_control_box_was_greeted_at_once_by_each_entry_box) {
+  constexpr int controls = 25;
+  constexpr size_t most = 8;
+  for (int i = 0; i < controls; ++i) {
+    finder.know(box_id("c" + std::to_string(i)));
+  }
+  std::set<box_id> greeted;
+  for (int round = 0; round < 4; ++round) {
+    const auto due = finder.to_greet(now);
+    CHECK_TRUE(due.size() <= most);
+    CHECK_TRUE(finder.to_greet(now).empty());
+    greeted.insert(due.begin(), due.end());
+    now += milliseconds(260);
+  }
+  LONGS_EQUAL(controls, greeted.size());
+  // One that is named as the leader is greeted before those it is late for.
+  hello("c3", "c24", false);
+  CHECK_TRUE(finder.to_greet(now).front() == box_id("c24"));
+}
--- a/daemon/leader-finder.cc
+++ b/daemon/leader-finder.cc
@@ -1,11 +1,18 @@
 #include "daemon/leader-finder.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace kestrelreel {
 namespace detail {
 
 /// A box is greeted so often while it serves, and while none does.
 constexpr milliseconds calm_greeting{1'000};
 constexpr milliseconds search_greeting{250};
+/// While none is known to serve, so many are greeted in that time: with all of
+/// them, a search of all entry boxes at once costs each control box as many
+/// greetings as there are entry boxes.
+constexpr size_t search_width = 8;
 /// What a box said holds for so long: two greetings and a slow answer.
 constexpr milliseconds believed_for{2'600};
 
@@ -62,18 +69,42 @@
 }
 
 std::vector<box_id> leader_finder::to_greet(time_point now) {
-  const box_id serving = target(now);
-  const bool calm = target_decides(now);
-  std::vector<box_id> due;
-  for (auto& [box, it] : controls_) {
-    if (calm && box != serving) continue;
-    const milliseconds every =
-        calm ? detail::calm_greeting : detail::search_greeting;
-    if (it.greeted_at && now - *it.greeted_at < every) continue;
-    it.greeted_at = now;
-    due.push_back(box);
+  if (!target_decides(now)) return to_search(now);
+  control& serving = controls_[target(now)];
+  if (serving.greeted_at && now - *serving.greeted_at < detail::calm_greeting) {
+    return {};
+  }
+  serving.greeted_at = now;
+  return {target(now)};
+}
+
+/// Those first that another one names as the leader, then those that were
+/// greeted longest ago.
+std::vector<box_id> leader_finder::to_search(time_point now) {
+  std::set<box_id> named;
+  for (const auto& [box, it] : controls_) {
+    if (fresh(it, now) && !it.leader.empty()) named.insert(box_id(it.leader));
+  }
+  std::vector<std::tuple<bool, time_point, box_id>> due;
+  size_t greeted = 0;
+  for (const auto& [box, it] : controls_) {
+    const bool lately =
+        it.greeted_at && now - *it.greeted_at < detail::search_greeting;
+    if (lately) ++greeted;
+    if (lately) continue;
+    due.emplace_back(!named.contains(box),
+                     it.greeted_at.value_or(time_point::min()), box);
+  }
+  std::sort(due.begin(), due.end());
+  const size_t most =
+      detail::search_width - std::min(detail::search_width, greeted);
+  std::vector<box_id> out;
+  for (const auto& [unnamed, last, box] : due) {
+    if (out.size() >= most) break;
+    controls_[box].greeted_at = now;
+    out.push_back(box);
   }
-  return due;
+  return out;
 }
 
 }  // namespace kestrelreel
--- a/daemon/leader-finder.h
+++ b/daemon/leader-finder.h
@@ -42,6 +42,7 @@
     bool decides = false;
     std::string leader;
   };
+  std::vector<box_id> to_search(time_point now);
   bool fresh(const control& it, time_point now) const;
 
   std::map<box_id, control> controls_;
