--- /dev/null
+++ b/fleet/held-call-test.cc
@@ -0,0 +1,111 @@
+// Calls of idle workers are held for work where workers call seldom: a task
+// waited for its worker's next call, 1.5 s later on 6,000 workers.
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "fleet/beat-intake.h"
+#include "fleet/fleet-test-world.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+/// Six workers call each 600 ms: as seldom as 6,000 at the usual rate and more.
+controller_settings seldom() {
+  controller_settings settings = test_world::make_settings();
+  settings.beats_per_s = 10;
+  settings.idle_beats_per_s = 5;
+  settings.direct_workers = 0;
+  return settings;
+}
+
+}  // namespace
+
+TEST_GROUP(held_call) {
+  test_world world{seldom()};
+  std::vector<fleet::beat_answer> answers;
+
+  void setup() override {
+    world.configure(1, 99);
+    for (int i = 0; i < 6; ++i) world.beat("w" + std::to_string(i));
+    world.pass(milliseconds(100));
+  }
+  /// By way of an intake box.
+  void call(const std::string& worker) {
+    fleet::worker_beat& it = world.workers[worker];
+    it.set_sequence(it.sequence() + 1);
+    it.set_clock_ms(static_cast<uint64_t>(world.clock.now().count()));
+    fleet::beat_batch batch;
+    *batch.add_beats() = it;
+    world.controller.take_beats(batch, [this](fleet::beat_answer answer) {
+      answers.push_back(std::move(answer));
+    });
+    world.commit();
+  }
+};
+
+TEST(held_call, start_waited_for_the_next_call_of_its_worker) {
+  call("w0");
+  LONGS_EQUAL(1, answers.size());
+  CHECK_TRUE(answers[0].held());
+  world.submit(1, {test_world::make_step(1)});
+  LONGS_EQUAL(2, answers.size());
+  CHECK_FALSE(answers[1].held());
+  LONGS_EQUAL(answers[0].sequence(), answers[1].sequence());
+  LONGS_EQUAL(1, answers[1].response().orders().starts_size());
+}
+
+TEST(held_call, answered_in_time_without_work) {
+  call("w0");
+  world.pass(milliseconds(400));
+  LONGS_EQUAL(1, answers.size());
+  world.pass(milliseconds(200));
+  LONGS_EQUAL(2, answers.size());
+  const fleet::worker_orders& orders = answers[1].response().orders();
+  CHECK_TRUE(orders.hold_ms() > 0);
+  // Six workers at five calls a second, less the time for which it was held.
+  LONGS_EQUAL(700, orders.next_beat_ms());
+}
+
+TEST(held_call, only_calls_that_tell_nothing_are_held) {
+  world.workers["w0"].set_draining(true);
+  world.workers["w0"].set_remaining_ms(10'000);
+  call("w0");
+  CHECK_FALSE(answers.back().held());
+  world.submit(1, {test_world::make_step(1)});
+  const std::string busy = world.controller.book().runs().begin()->first.str();
+  call(busy);
+  CHECK_FALSE(answers.back().held());
+}
+
+TEST(held_call, held_calls_filled_the_window_of_their_box) {
+  test_clock clock;
+  metrics_registry metrics;
+  intake_settings settings;
+  settings.first_window = settings.least_window = 1;
+  beat_intake intake(settings, clock, metrics);
+  int answered = 0;
+  for (const char* worker : {"a", "b"}) {
+    fleet::worker_beat beat;
+    beat.set_worker(worker);
+    beat.set_pool("pool");
+    beat.set_sequence(1);
+    beat.set_clock_ms(1);
+    intake.take(beat, [&](const fleet::fleet_response&) { ++answered; });
+  }
+  LONGS_EQUAL(1, intake.collect("L").beats_size());
+  CHECK_FALSE(intake.has_news());
+  fleet::beat_answers notice;
+  fleet::beat_answer& it = *notice.add_answers();
+  it.set_worker("a");
+  it.set_sequence(1);
+  it.set_held(true);
+  intake.answered(notice);
+  LONGS_EQUAL(0, answered);
+  LONGS_EQUAL(1, intake.collect("L").beats_size());
+  it.set_held(false);
+  intake.answered(notice);
+  LONGS_EQUAL(1, answered);
+}
