An order keeps its precedence until its worker lists the run

Cause: a worker to whom something was ordered is answered sooner, but only until the order was sent once; where that answer came too late its worker dropped it, called elsewhere, and waited for its turn like any other, as long as a lease allows. And of two alike the one at the lower address in memory went first, so that the busy leader's rows did not repeat.

--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <ctime>
+#include <deque>
 #include <string>
 
 #include "fleet/slow-test-parts.h"
@@ -75,4 +76,27 @@
   uint64_t answers = 0;
 };
 
+struct caller {
+  machine it;
+  int box = 0;
+  bool lost = false;
+  bool lapsed = false;
+};
+struct intake_box {
+  intake_box(clock_source& clock, metrics_registry& metrics)
+      : intake({}, clock, metrics) {}
+  beat_intake intake;
+  std::deque<fleet::beat_batch> sent;
+  std::deque<slow::passed_answer> replies;
+};
+struct entry {
+  time_point lasts;
+  fleet::fleet_command command;
+};
+struct reply {
+  size_t caller;
+  uint64_t sequence;
+  fleet::fleet_response response;
+};
+
 }  // namespace kestrelreel::busy
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -91,29 +91,6 @@
  private:
   static constexpr uint64_t first_short_job = 10'000;
 
-  struct caller {
-    machine it;
-    int box = 0;
-    bool lost = false;
-    bool lapsed = false;
-  };
-  struct intake_box {
-    intake_box(clock_source& clock, metrics_registry& metrics)
-        : intake({}, clock, metrics) {}
-    beat_intake intake;
-    std::deque<fleet::beat_batch> sent;
-    std::deque<slow::passed_answer> replies;
-  };
-  struct entry {
-    time_point lasts;
-    fleet::fleet_command command;
-  };
-  struct reply {
-    size_t caller;
-    uint64_t sequence;
-    fleet::fleet_response response;
-  };
-
   static controller_settings make_settings() {
     controller_settings settings = test_world::make_settings();
     settings.leases.hold = longest_hold;
--- a/fleet/busy-leader-test.cc
+++ b/fleet/busy-leader-test.cc
@@ -25,3 +25,18 @@
   };
   busy::check_rows(rows);
 }
+
+TEST(busy_leader, answers_as_many_workers_beyond_its_limit) {
+  // Twice as many workers as it can answer each 1.6 s.
+  const auto answers = [](int workers) {
+    busy::busy_world world({"overload", workers, {.answer = 4'000}});
+    world.pass(milliseconds(10'000));
+    const uint64_t before = world.out().answers;
+    world.pass(milliseconds(10'000));
+    return world.out().answers - before;
+  };
+  constexpr int limit = 400;
+  constexpr uint64_t percent = 100;
+  constexpr uint64_t least_percent = 90;
+  CHECK_TRUE(answers(2 * limit) * percent >= answers(limit) * least_percent);
+}
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -1,6 +1,7 @@
 // What the leader answers to the workers' heartbeats.
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "base/text.h"
@@ -99,6 +100,15 @@
   return true;
 }
 
+/// True while the book has a run there that the worker does not list: the
+/// answer that ordered it may have come too late.
+bool fleet_controller::awaits_start(const worker_view& it) const {
+  const auto& runs = book_.runs_on(it.id);
+  return std::any_of(runs.begin(), runs.end(), [&](const run_key& run) {
+    return !it.rows.contains(run) && !lists_end(it, run);
+  });
+}
+
 /// No more than a turn's, those first whose leases are over soonest, and sooner
 /// by some those to whom something was ordered: with the longest waits first,
 /// each answer comes when its worker has turned elsewhere.
@@ -117,18 +127,19 @@
                       lag_.stretch_percent();
   answers_left_ = due.size() > most;
   if (due.size() <= most) return due;
-  std::vector<std::pair<time_point, worker_view*>> turns;
+  std::vector<std::tuple<time_point, uint64_t, worker_view*>> turns;
   turns.reserve(due.size());
   for (worker_view* it : due) {
-    turns.emplace_back(it->over_at - (it->unsent.empty() ? milliseconds(0)
-                                                         : detail::order_lead),
-                       it);
+    const milliseconds lead =
+        awaits_start(*it) ? detail::order_lead : milliseconds(0);
+    turns.emplace_back(it->over_at - lead, it->ordinal, it);
   }
   std::nth_element(turns.begin(),
                    turns.begin() + static_cast<std::ptrdiff_t>(most),
                    turns.end());
   due.clear();
-  for (size_t i = 0; i < most; ++i) due.push_back(turns[i].second);
+  for (size_t i = 0; i < most; ++i)
+    due.push_back(std::get<worker_view*>(turns[i]));
   unsettled_ = true;
   return due;
 }
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -190,6 +190,7 @@
   // Answers to workers: controller-orders.cc.
   std::vector<worker_view*> due_answers();
   bool give_up_late(worker_view& it);
+  bool awaits_start(const worker_view& it) const;
   bool answer_is_due(const worker_view& it) const;
   void answer(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
--- a/fleet/lagging-leader-test.cc
+++ b/fleet/lagging-leader-test.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fleet/beat-intake.h"
 #include "fleet/fleet-test-world.h"
@@ -220,3 +221,39 @@
   // An acknowledgement of a leave is the leader's to give.
   CHECK_FALSE(told.contains("leaves"));
 }
+
+TEST(lagging_leader, order_in_a_dropped_answer_lost_its_precedence) {
+  controller_settings settings = test_world::make_settings();
+  settings.most_answers = 1;
+  test_world one(settings);
+  one.configure(1, 99);
+  for (const char* it : {"a", "b"}) one.beat(it);
+  one.submit(1, {test_world::make_step(1)});
+  const std::string ordered = one.controller.book().runs().begin()->first.str();
+  const std::string other = ordered == "a" ? "b" : "a";
+  std::vector<std::string> answered;
+  const auto call = [&](const std::string& worker) {
+    fleet::worker_beat& beat = one.workers[worker];
+    beat.set_sequence(beat.sequence() + 1);
+    beat.set_clock_ms(static_cast<uint64_t>(one.clock.now().count()));
+    fleet::fleet_request request;
+    *request.mutable_beat() = beat;
+    one.controller.request(request, [&answered, worker](const auto& it) {
+      if (it.has_orders()) answered.push_back(worker);
+    });
+  };
+  const auto pass = [&] { one.clock.advance(milliseconds(100)); };
+  call(other);
+  one.controller.settle();
+  pass();
+  // The worker drops this answer, which orders the start.
+  call(ordered);
+  one.controller.settle();
+  pass();
+  answered.clear();
+  call(other);
+  call(ordered);
+  one.controller.settle();
+  LONGS_EQUAL(1, answered.size());
+  STRCMP_EQUAL(ordered.c_str(), answered.front().c_str());
+}
