--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -79,7 +79,7 @@
 
   /// The first `n` workers are lost for good, with what they run.
   void lose(int n) {
-    for (int i = 0; i < n; ++i) callers_[i].lost = true;
+    for (int i = 0; i < n; ++i) callers_[static_cast<size_t>(i)].lost = true;
   }
 
   const outcome& out() {
@@ -182,7 +182,7 @@
       submissions_.pop_front();
       return all;
     }
-    return read(*boxes_[source - 4]);
+    return read(*boxes_[static_cast<size_t>(source - 4)]);
   }
 
   double read(intake_box& box) {
@@ -283,7 +283,7 @@
     machine& it = callers_[i].it;
     it.out = ++it.sequence;
     it.sent = clock_.now();
-    boxes_[callers_[i].box]->intake.take(
+    boxes_[static_cast<size_t>(callers_[i].box)]->intake.take(
         slow::make_beat(it, clock_.now()),
         [this, i, n = it.sequence](fleet::fleet_response response) {
           replies_.push_back({i, n, std::move(response)});
--- a/fleet/slow-test-parts.h
+++ b/fleet/slow-test-parts.h
@@ -31,7 +31,8 @@
   bool one_in(unsigned n) { return draw(n) == 0; }
   uint64_t draw(uint64_t n) { return engine_() % n; }
   milliseconds up_to(milliseconds n) {
-    return milliseconds(static_cast<int64_t>(draw(n.count() + 1)));
+    return milliseconds(
+        static_cast<int64_t>(draw(static_cast<uint64_t>(n.count()) + 1)));
   }
   /// Mostly short, now and then seconds.
   milliseconds delay() {
