What a worker awaits is noted, not looked for with each turn

Cause: in a turn with more calls than it may answer the leader looked through the book's runs at each waiting worker, to tell who awaits a start: what a leader that is behind can least afford. Now the answer that orders a start notes it, and the heartbeat that lists the run takes it back.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -130,8 +130,8 @@
   std::vector<std::tuple<time_point, uint64_t, worker_view*>> turns;
   turns.reserve(due.size());
   for (worker_view* it : due) {
-    const milliseconds lead =
-        awaits_start(*it) ? detail::order_lead : milliseconds(0);
+    const bool ordered = !it->unsent.empty() || it->awaits_start;
+    const milliseconds lead = ordered ? detail::order_lead : milliseconds(0);
     turns.emplace_back(it->over_at - lead, it->ordinal, it);
   }
   std::nth_element(turns.begin(),
@@ -287,6 +287,7 @@
     start.set_saved(task.saved);
     it.sent[run] = clock_.now();
     it.unsent.erase(run);
+    it.awaits_start = true;
   }
 }
 
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -107,6 +107,7 @@
   lag_.read(it->delay);
   note_new_life(*it);
   note_unrecorded(*it);
+  if (it->awaits_start) it->awaits_start = awaits_start(*it);
   take_ends(*it, timely);
   // Nobody waits for the answer of a late one any more.
   if (!timely) {
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -161,6 +161,8 @@
   time_point watch_at{};
   /// That call was held for work that might come.
   bool was_held = false;
+  /// Its last answer ordered starts; until a heartbeat lists them all.
+  bool awaits_start = false;
   /// When to call again, as its last answer told.
   milliseconds pause{0};
   /// Least difference of its clock to ours so far: how long ago a heartbeat
