--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -53,6 +53,8 @@
   int intakes = 4;
   // The workers' first calls are spread over so long.
   milliseconds first_calls{200};
+  // An answer sends each worker back to the first box that it called.
+  bool sends_home = false;
 };
 
 /// Processor time of this thread so far, in microseconds.
@@ -70,6 +72,10 @@
   int done = 0;
   milliseconds longest_away{0};
   milliseconds longest_order_lag{0};
+  // Of a living worker between two calls that the leader read.
+  milliseconds longest_unread{0};
+  // Starts of tasks that had ended well.
+  int started_again = 0;
   // Processor time that the leader took here, in microseconds, and the answers
   // with orders that it gave.
   double leader_us = 0;
@@ -81,6 +87,9 @@
   int box = 0;
   bool lost = false;
   bool lapsed = false;
+  // The last call that the leader read, and when.
+  uint64_t read = 0;
+  time_point read_at{};
 };
 struct intake_box {
   intake_box(clock_source& clock, metrics_registry& metrics)
@@ -88,6 +97,8 @@
   beat_intake intake;
   std::deque<fleet::beat_batch> sent;
   std::deque<slow::passed_answer> replies;
+  // How long the leader's answers to this box are on their way.
+  milliseconds answers_late{0};
 };
 struct entry {
   time_point lasts;
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -61,6 +61,11 @@
     }
   }
 
+  /// The leader's answers take so long to that box from now on.
+  void delay_answers(int box, milliseconds by) {
+    boxes_[static_cast<size_t>(box)]->answers_late = by;
+  }
+
   void set_jobs_per_s(double n) { setting_.jobs_per_s = n; }
 
   /// Another box leads: it knows the book and no worker.
@@ -126,9 +131,11 @@
   }
 
   void pass_on(intake_box& box) {
-    for (const slow::passed_answer& it : std::exchange(box.replies, {})) {
+    while (!box.replies.empty() &&
+           box.replies.front().arrives + box.answers_late <= clock_.now()) {
       fleet::beat_answers one;
-      *one.add_answers() = it.answer;
+      *one.add_answers() = std::move(box.replies.front().answer);
+      box.replies.pop_front();
       box.intake.answered(one);
     }
     if (clock_.now() % tick_interval == milliseconds(0)) box.intake.expire();
@@ -189,6 +196,7 @@
     if (box.sent.empty()) return 0;
     const fleet::beat_batch batch = std::move(box.sent.front());
     box.sent.pop_front();
+    for (const fleet::worker_beat& it : batch.beats()) note_read(it);
     return charged(
         [&] {
           leader_.take_beats(batch, [this, &box](fleet::beat_answer answer) {
@@ -199,6 +207,17 @@
         setting_.cost.read * batch.beats_size());
   }
 
+  void note_read(const fleet::worker_beat& beat) {
+    caller& c = callers_[std::stoul(beat.worker().substr(1))];
+    if (c.lost || beat.sequence() <= c.read) return;
+    if (c.read > 0) {
+      out_.longest_unread =
+          std::max(out_.longest_unread, clock_.now() - c.read_at);
+    }
+    c.read = beat.sequence();
+    c.read_at = clock_.now();
+  }
+
   /// By what the leader counts of its looks and answers, `more` beside, or by
   /// the processor time that it takes here.
   template <typename Work>
@@ -276,6 +295,7 @@
     note_gone(run.task);
     if (outcome != fleet::run_done) return;
     ++out_.done;
+    done_.insert(run.task);
     ends_.add(run.task, {c.it.id, end.number(), clock_.now()});
   }
 
@@ -300,6 +320,9 @@
     const milliseconds pause(static_cast<int64_t>(orders.next_beat_ms()));
     it.next_call = clock_.now() + std::max(pause, after_end);
     if (orders.hold_ms() == 0) return;
+    if (setting_.sends_home) {
+      c.box = static_cast<int>(answer.caller) % setting_.intakes;
+    }
     it.lease = std::max(
         it.lease,
         it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
@@ -324,6 +347,7 @@
       fail(to_text(run.task) + " runs twice");
     }
     fail(ends_.start(run.task));
+    if (done_.contains(run.task)) ++out_.started_again;
     if (it.runs.size() >= slow::worker_room) fail(it.id + " is over its room");
     const time_point now = clock_.now();
     const auto kept = kept_at_.find(run);
@@ -365,6 +389,7 @@
   std::vector<reply> replies_;
   std::map<run_key, time_point> kept_at_;
   std::set<task_key> running_;
+  std::set<task_key> done_;
   std::map<task_key, time_point> away_since_;
   end_ledger ends_;
   outcome out_;
