A box that can't pass calls on in time turns workers away, and each has its turn

Callers saw tasks run again that had ended well (TWICE): workers of two control boxes that had come back were heard by nobody for 6 s, were given up on while they lived, and the ends that they listed came too late.

Cause: with a full window a box tells a worker to come again, with a 2xx, so that it stays; whose call goes next was chosen by when the leader had last answered it in time. Where answers come late on their way, nobody is ever answered in time: the same 40 calls, the first by id, went out again and again, and all others were put off without an end. Both workers of the users' record have late ids (i-eb.., i-d8..).

Now a call goes out after those whose workers have waited longer, counted from the first of their calls that was not passed on. The leader tells how long it had a call, so that a box knows a slow leader from a slow way; where the way is slow, or no answer comes for a second, it refuses what it can't pass on, and the worker turns to another box.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -52,6 +52,7 @@
   it.beat = std::move(beat);
   it.respond = std::move(respond);
   it.called = clock_.now();
+  if (it.waits_since == time_point{}) it.waits_since = it.called;
   set_state(it, call_state::waits);
 }
 
@@ -60,7 +61,7 @@
   if (before == call_state::waits) --news_;
   if (before == call_state::out) --out_;
   if (state == call_state::waits) ++news_;
-  if (state == call_state::out) ++out_;
+  if (state == call_state::out && out_++ == 0) unanswered_since_ = clock_.now();
 }
 
 void beat_intake::refuse(const fleet::worker_beat& beat,
@@ -88,7 +89,7 @@
     it->told_to = leader;
     it->told_sequence = it->beat.sequence();
     it->passed_at = clock_.now();
-    it->put_off_since = {};
+    it->waits_since = {};
     set_state(*it, call_state::out);
   }
   return batch;
@@ -108,20 +109,23 @@
   });
   if (next.size() <= room) return next;
   std::stable_sort(next.begin(), next.end(), [](const auto* a, const auto* b) {
-    return std::make_pair(!a->beat.draining(), a->answered_at) <
-           std::make_pair(!b->beat.draining(), b->answered_at);
+    return std::make_pair(!a->beat.draining(), a->waits_since) <
+           std::make_pair(!b->beat.draining(), b->waits_since);
   });
   next.resize(room);
   return next;
 }
 
 /// The leader answered: soon enough, or later than it should.
-void beat_intake::note_answer(caller& it) {
+void beat_intake::note_answer(const caller& it,
+                              const fleet::beat_answer& answer) {
   const time_point now = clock_.now();
-  // Later ones its worker drops: it has its turn again soon.
-  if (now - it.called < settings_.answer_within) it.answered_at = now;
-  if (now - it.passed_at > settings_.answer_slow) {
+  const milliseconds passed = now - it.passed_at;
+  if (passed > settings_.answer_slow) {
     ++slow_;
+    const milliseconds at_leader(static_cast<int64_t>(answer.leader_ms()));
+    const bool told = answer.has_leader_ms();
+    if (told && passed - at_leader > settings_.way_slow) ++slow_ways_;
     return narrow();
   }
   ++quick_;
@@ -134,25 +138,34 @@
   narrowed_at_ = now;
   // Calls with ends wait for the log, which may be slow where the leader isn't.
   const bool most_are_slow = slow_ > quick_;
-  slow_ = quick_ = 0;
+  way_is_slow_ = most_are_slow && 2 * slow_ways_ > slow_;
+  slow_ = quick_ = slow_ways_ = 0;
   if (!most_are_slow) return;
   window_ = std::max(
       settings_.least_window,
       std::min(window_, out_ + 1) * detail::narrow_percent / detail::percent);
   log_event("intake", log_level::info, "calls-held-back")
-      .with("cause", "the leader answers late")
+      .with("cause", is_out_of_reach() ? "answers are long on their way"
+                                       : "the leader answers late")
       .with("at-once", window_)
       .with("waiting", news_)
       .with("longest-put-off-ms", longest_put_off_.count());
   longest_put_off_ = {};
 }
 
-/// Said of no worker that leaves: what it is told then is an acknowledgement.
-void beat_intake::come_again(caller& it) {
+/// True where another box may have a better way to the leader.
+bool beat_intake::is_out_of_reach() const {
+  const bool silent =
+      out_ > 0 && clock_.now() - unanswered_since_ >= settings_.unanswered;
+  return way_is_slow_ || silent;
+}
+
+/// There is no room for the call now. Its worker comes again, or turns to
+/// another box where this one is no help: told to come again, it would stay.
+void beat_intake::put_off(caller& it) {
+  longest_put_off_ = std::max(longest_put_off_, clock_.now() - it.waits_since);
+  if (is_out_of_reach()) return give_up(it, "the leader is out of reach");
   ++metrics_.counter("kestrelreel_heartbeats_put_off_total");
-  if (it.put_off_since == time_point{}) it.put_off_since = it.called;
-  longest_put_off_ =
-      std::max(longest_put_off_, clock_.now() - it.put_off_since);
   fleet::fleet_response response =
       detail::plain_response(fleet::fleet_ok, "come again");
   response.mutable_orders()->set_next_beat_ms(
@@ -161,6 +174,13 @@
   std::exchange(it.respond, nullptr)(std::move(response));
 }
 
+/// The worker turns to another box.
+void beat_intake::give_up(caller& it, const char* reason) {
+  set_state(it, call_state::none);
+  std::exchange(it.respond, nullptr)(
+      detail::plain_response(fleet::fleet_unavailable, reason));
+}
+
 /// True where the leader needs only the difference, which tells no room.
 bool beat_intake::is_told(const caller& it, const std::string& leader) {
   return it.told_to == leader && it.told_room == room_of(it.beat);
@@ -230,9 +250,9 @@
       set_state(it, call_state::waits);
       continue;
     }
+    unanswered_since_ = clock_.now();
     // A held call's answer comes late on purpose.
-    if (it.state == call_state::out) note_answer(it);
-    if (it.state == call_state::held) it.answered_at = clock_.now();
+    if (it.state == call_state::out) note_answer(it, answer);
     set_state(it, answer.held() ? call_state::held : call_state::none);
     if (answer.held()) continue;
     std::exchange(it.respond, nullptr)(answer.response());
@@ -244,6 +264,8 @@
     if (it.respond) set_state(it, call_state::waits);
   }
   window_ = settings_.first_window;
+  unanswered_since_ = clock_.now();
+  way_is_slow_ = false;
 }
 
 void beat_intake::expire() {
@@ -253,15 +275,13 @@
     const milliseconds age = now - it.called;
     const bool held_back =
         it.state == call_state::waits && !it.beat.draining() && window_full();
-    if (held_back && age >= settings_.come_again_after) come_again(it);
+    if (held_back && age >= settings_.come_again_after) put_off(it);
     if (!it.respond || age < settings_.answer_within) continue;
     if (it.state == call_state::out) {
       ++slow_;
       narrow();
     }
-    set_state(it, call_state::none);
-    std::exchange(it.respond, nullptr)(detail::plain_response(
-        fleet::fleet_unavailable, "no answer of a leader"));
+    give_up(it, "no answer of a leader");
   }
   std::erase_if(callers_, [&](const auto& p) {
     return !p.second.respond &&
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -40,6 +40,10 @@
   /// rest of the worker's second is too short for the leader's answer.
   milliseconds come_again_after{100};
   milliseconds come_again_in{200};
+  /// Where answers take so long on their way alone, or none has come for
+  /// `unanswered`, the leader is better reached by another box.
+  milliseconds way_slow{200};
+  milliseconds unanswered{1'000};
 };
 
 /// Reads heartbeats for the leader and passes on only what changed. It grants
@@ -64,9 +68,9 @@
   /// The calls that were not passed on yet, for a leader of that name; one
   /// that was not told of a worker before is told all of it. No more than the
   /// leader can answer in time, first of those that leave, then of those that
-  /// it answered longest ago, so that the leases of all hold: calls that waited
-  /// unread at the leader were answered too late, each of them, and leases
-  /// lapsed.
+  /// have had none passed on for longest, so that each has its turn: calls that
+  /// waited unread at the leader were answered too late, each of them, and
+  /// leases lapsed.
   fleet::beat_batch collect(const std::string& leader);
   /// What the leader answered; answers to earlier calls are dropped.
   void answered(const fleet::beat_answers& answers);
@@ -90,10 +94,8 @@
     time_point called{};
     call_state state = call_state::none;
     time_point passed_at{};
-    // Since when it was told to come again, and no call was passed on.
-    time_point put_off_since{};
-    // When the leader last answered one.
-    time_point answered_at{};
+    // Since when it calls and no call of it was passed on.
+    time_point waits_since{};
     // Who was told what, by the call with the sequence `told_sequence`.
     std::string told_to;
     uint64_t told_sequence = 0;
@@ -105,11 +107,13 @@
 
   void refuse(const fleet::worker_beat& beat, const respond_function& respond);
   std::vector<caller*> next_callers();
-  void note_answer(caller& it);
+  void note_answer(const caller& it, const fleet::beat_answer& answer);
   void narrow();
+  bool is_out_of_reach() const;
+  void put_off(caller& it);
+  void give_up(caller& it, const char* reason);
   bool window_full() const { return out_ >= window_; }
   void set_state(caller& it, call_state state);
-  void come_again(caller& it);
   static bool is_told(const caller& it, const std::string& leader);
   static fleet::worker_beat make_whole(caller& it);
   fleet::worker_beat make_difference(caller& it) const;
@@ -127,6 +131,11 @@
   // Answers since then, by whether they came in time.
   size_t slow_ = 0;
   size_t quick_ = 0;
+  // Whether the way was why, for most of the slow ones when that was last
+  // judged, and since when calls are out and no answer came.
+  size_t slow_ways_ = 0;
+  bool way_is_slow_ = false;
+  time_point unanswered_since_{};
   // The longest that a worker was put off, since that was told last.
   milliseconds longest_put_off_{0};
 };
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -42,14 +42,17 @@
 void fleet_controller::take_beats(const fleet::beat_batch& batch,
                                   const answer_function& answer) {
   for (const fleet::worker_beat& it : batch.beats()) {
-    const auto respond = [answer, worker = life_of(it).str(),
-                          n = it.sequence()](fleet::fleet_response response) {
-      fleet::beat_answer out;
-      out.set_worker(worker);
-      out.set_sequence(n);
-      *out.mutable_response() = std::move(response);
-      answer(std::move(out));
-    };
+    const auto respond =
+        [this, answer, worker = life_of(it).str(), n = it.sequence(),
+         taken_in = clock_.now()](fleet::fleet_response response) {
+          fleet::beat_answer out;
+          out.set_worker(worker);
+          out.set_sequence(n);
+          const milliseconds passed = clock_.now() - taken_in;
+          out.set_leader_ms(static_cast<uint64_t>(passed.count()));
+          *out.mutable_response() = std::move(response);
+          answer(std::move(out));
+        };
     const auto held = [answer, worker = life_of(it).str(), n = it.sequence()] {
       fleet::beat_answer out;
       out.set_worker(worker);
