--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -163,10 +163,13 @@
 }
 
 void fleet_record_service::send(const proto::raft_message& m) {
-  context_.metrics.counter(
-      "kestrelreel_log_bytes_sent_total",
-      {{"to", m.to()}, {"kind", proto::raft_kind_Name(m.kind())}}) +=
-      m.ByteSizeLong();
+  // The others are small, and many.
+  if (m.entries_size() > 0 || m.has_snapshot()) {
+    context_.metrics.counter(
+        "kestrelreel_log_bytes_sent_total",
+        {{"to", m.to()}, {"kind", proto::raft_kind_Name(m.kind())}}) +=
+        m.ByteSizeLong();
+  }
   fleet::fleet_frame frame;
   *frame.mutable_raft() = m;
   mesh_->send(box_id(m.to()), std::move(frame));
