--- a/consensus/follower-progress.h
+++ b/consensus/follower-progress.h
@@ -11,14 +11,37 @@
 
 namespace kestrelreel {
 
-/// A snapshot that is sent in parts.
-struct snapshot_transfer {
+/// A snapshot on its way to a follower, in parts.
+class snapshot_transfer {
+ public:
+  using snapshot_pointer = std::shared_ptr<const proto::log_snapshot>;
+
   /// Null while none is on its way.
-  std::shared_ptr<const proto::log_snapshot> snapshot;
-  size_t acknowledged = 0;
-  size_t sent = 0;
-  /// Ticks since the follower answered a part.
-  unsigned quiet_ticks = 0;
+  const snapshot_pointer& snapshot() const { return snapshot_; }
+  size_t acknowledged() const { return acknowledged_; }
+  size_t sent() const { return sent_; }
+
+  /// To be called before parts are sent: takes up the newest snapshot while
+  /// nothing is held of an earlier one, and goes back to what the follower
+  /// said last when nothing moved for a time that doubles with each going back,
+  /// as a slow link takes long for what is on its way already.
+  void prepare(const snapshot_pointer& newest, unsigned least_ticks);
+  void part_sent(size_t bytes) { sent_ += bytes; }
+  /// The follower holds so much of it.
+  void held(size_t offset);
+  void tick() { quiet_ticks_ += snapshot_ ? 1 : 0; }
+
+ private:
+  void begin(const snapshot_pointer& it);
+
+  snapshot_pointer snapshot_;
+  size_t acknowledged_ = 0;
+  size_t sent_ = 0;
+  // What the follower said last: less than before, if it started again.
+  size_t held_ = 0;
+  // Since something was acknowledged, and after how many to go back.
+  unsigned quiet_ticks_ = 0;
+  unsigned patience_ = 0;
 };
 
 /// A follower of this replica, while it leads.
--- a/consensus/raft-install.cc
+++ b/consensus/raft-install.cc
@@ -13,33 +13,30 @@
 void raft::send_install(const std::string& box, follower_progress& it,
                         bool heartbeat) {
   snapshot_transfer& transfer = it.transfer;
-  if (!transfer.snapshot) transfer = {log_.snapshot(), 0, 0, 0};
-  // A part was lost with the connection that carried it.
-  if (transfer.quiet_ticks >= settings_.election_ticks) {
-    transfer.sent = transfer.acknowledged;
-    transfer.quiet_ticks = 0;
-  }
-  const std::string& data = transfer.snapshot->data();
-  const size_t limit = transfer.acknowledged + settings_.window_bytes;
-  while (transfer.sent < std::min(limit, data.size())) {
+  transfer.prepare(log_.snapshot(), settings_.election_ticks);
+  const std::string& data = transfer.snapshot()->data();
+  const size_t end =
+      std::min(transfer.acknowledged() + settings_.window_bytes, data.size());
+  while (transfer.sent() < end) {
     const size_t n =
-        std::min(settings_.batch_bytes, data.size() - transfer.sent);
-    send_part(box, transfer, data.substr(transfer.sent, n));
-    transfer.sent += n;
+        std::min(settings_.batch_bytes, data.size() - transfer.sent());
+    send_part(box, transfer, data.substr(transfer.sent(), n));
+    transfer.part_sent(n);
     heartbeat = false;
   }
-  if (heartbeat || data.empty()) send_part(box, transfer, "");
+  if (heartbeat) send_part(box, transfer, "");
 }
 
 void raft::send_part(const std::string& box, const snapshot_transfer& transfer,
                      std::string data) {
   proto::raft_message m = make(proto::raft_install_part, box);
-  const proto::log_snapshot& whole = *transfer.snapshot;
+  const proto::log_snapshot& whole = *transfer.snapshot();
   m.mutable_snapshot()->set_index(whole.index());
   m.mutable_snapshot()->set_term(whole.term());
   *m.mutable_snapshot()->mutable_members() = whole.members();
   m.mutable_snapshot()->set_data(std::move(data));
-  m.set_offset(transfer.sent);
+  m.set_offset(transfer.sent());
+  m.set_round(round_);
   m.set_total(whole.data().size());
   ready_.push_back(std::move(m));
 }
@@ -68,6 +65,7 @@
     proto::raft_message reply = make(proto::raft_install_reply, m.from());
     reply.set_match(part.index());
     reply.set_offset(data.size());
+    reply.set_round(m.round());
     ready_.push_back(std::move(reply));
     return;
   }
@@ -83,13 +81,10 @@
   if (found == progress_.end()) return;
   follower_progress& it = found->second;
   it.silent_ticks = 0;
-  snapshot_transfer& transfer = it.transfer;
-  if (!transfer.snapshot || transfer.snapshot->index() != m.match()) return;
-  // It started again without what it held.
-  if (m.offset() < transfer.acknowledged) transfer.sent = m.offset();
-  if (m.offset() != transfer.acknowledged) transfer.quiet_ticks = 0;
-  transfer.acknowledged = m.offset();
-  transfer.sent = std::max(transfer.sent, transfer.acknowledged);
+  it.round = std::max(it.round, std::min(m.round(), round_));
+  const auto& snapshot = it.transfer.snapshot();
+  if (!snapshot || snapshot->index() != m.match()) return;
+  it.transfer.held(m.offset());
   send_install(m.from(), it, false);
 }
 
--- /dev/null
+++ b/consensus/raft-members.cc
@@ -0,0 +1,125 @@
+// Who votes and who learns: the leader's view of its followers, and one change
+// of the membership at a time.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/quorum.h"
+#include "consensus/raft.h"
+
+namespace kestrelreel {
+
+void raft::refresh_progress() {
+  std::map<std::string, follower_progress> fresh;
+  const auto keep = [&](const proto::replica& member, bool learner) {
+    if (member.box() == settings_.self.str()) return;
+    follower_progress& it = fresh[member.box()];
+    const auto old = progress_.find(member.box());
+    const bool same =
+        old != progress_.end() && old->second.identity == member.identity();
+    if (same) it = old->second;
+    if (!same) it.start_after(log_.last_index());
+    it.identity = member.identity();
+    it.learner = learner;
+  };
+  for (const proto::replica& it : members().voters()) keep(it, false);
+  for (const proto::replica& it : members().learners()) keep(it, true);
+  progress_ = std::move(fresh);
+}
+
+bool raft::membership_settled() const {
+  const bool pending =
+      !memberships_.empty() && memberships_.rbegin()->first > commit_;
+  return !pending && log_.term_at(commit_) == term_;
+}
+
+/// Repairs the membership one step at a time: a box that lost its data folder
+/// leaves as the old replica, joins as a learner, and votes once it holds the
+/// log.
+void raft::review_membership() {
+  if (!membership_settled()) return;
+  if (admit_stranger()) return;
+  if (promote_learner()) return;
+  remove_surplus();
+}
+
+bool raft::remove_surplus() {
+  const auto n = static_cast<unsigned>(members().voters_size());
+  if (settings_.wanted_voters == 0 || n <= settings_.wanted_voters) {
+    return false;
+  }
+  for (const proto::replica& voter : members().voters()) {
+    const auto it = progress_.find(voter.box());
+    if (it == progress_.end()) continue;
+    if (it->second.silent_ticks < settings_.silent_ticks) continue;
+    return propose_membership(without_box(members(), voter.box())).ok();
+  }
+  return false;
+}
+
+bool raft::admit_stranger() {
+  for (const auto& [box, identity] : strangers_) {
+    if (is_member(members(), box, identity)) continue;
+    proto::membership next = without_box(members(), box);
+    const bool was_voter = find_voter(members(), box) != nullptr;
+    if (was_voter && next.voters_size() == 0) continue;
+    if (!was_voter) {
+      proto::replica* it = next.add_learners();
+      it->set_box(box);
+      it->set_identity(identity);
+    }
+    return propose_membership(next).ok();
+  }
+  strangers_.clear();
+  return false;
+}
+
+/// True while fewer voters answer than there should be.
+bool raft::wants_voter() const {
+  if (settings_.wanted_voters == 0) return true;
+  const auto& voters = members().voters();
+  const auto n = std::count_if(voters.begin(), voters.end(), [&](auto& it) {
+    const auto found = progress_.find(it.box());
+    return it.box() == settings_.self.str() ||
+           (found != progress_.end() &&
+            found->second.silent_ticks < settings_.silent_ticks);
+  });
+  return static_cast<unsigned>(n) < settings_.wanted_voters;
+}
+
+/// How many voters stand in the box's data centre.
+unsigned raft::voters_at(const std::string& box) const {
+  const auto place = places_.find(box);
+  if (place == places_.end()) return 0;
+  const auto& voters = members().voters();
+  return static_cast<unsigned>(
+      std::count_if(voters.begin(), voters.end(), [&](auto& it) {
+        const auto found = places_.find(it.box());
+        return found != places_.end() && found->second == place->second;
+      }));
+}
+
+bool raft::is_caught_up(const follower_progress& it) const {
+  return it.silent_ticks <= settings_.heartbeat_ticks &&
+         it.match() >= std::min(commit_, told_commit_);
+}
+
+/// Of the learners that hold the log one in the data centre with the fewest
+/// voters.
+bool raft::promote_learner() {
+  if (!wants_voter()) return false;
+  const proto::replica* best = nullptr;
+  for (const proto::replica& learner : members().learners()) {
+    const auto it = progress_.find(learner.box());
+    if (it == progress_.end() || !is_caught_up(it->second)) continue;
+    const bool better =
+        best == nullptr || voters_at(learner.box()) < voters_at(best->box());
+    if (better) best = &learner;
+  }
+  if (best == nullptr) return false;
+  const proto::replica chosen = *best;
+  proto::membership next = without_box(members(), chosen.box());
+  *next.add_voters() = chosen;
+  return propose_membership(next).ok();
+}
+
+}  // namespace kestrelreel
--- a/consensus/raft-replication.cc
+++ b/consensus/raft-replication.cc
@@ -1,5 +1,6 @@
 // The log's side of a replica: appends, snapshots, commits, memberships.
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "consensus/quorum.h"
@@ -34,6 +35,7 @@
   entry.set_term(term_);
   entry.set_kind(kind);
   entry.set_payload(std::move(payload));
+  proposed_.back() += entry.ByteSizeLong();
   note_membership(entry);
   log_.append(std::move(entry));
 }
@@ -61,6 +63,7 @@
   if (!covered && log_.term_at(previous) != m.log_term()) {
     return refuse_append(m);
   }
+  incoming_.reset();
   add_entries(m);
   const uint64_t n = static_cast<uint64_t>(m.entries_size());
   const uint64_t match = std::max(previous + n, log_.snapshot_index());
@@ -120,6 +123,7 @@
   proto::raft_message reply = make(proto::raft_append_reply, m.from());
   reply.set_granted(true);
   reply.set_match(index);
+  reply.set_round(m.round());
   waiting_.push_back(std::move(reply));
 }
 
@@ -135,10 +139,8 @@
     return send_append(m.from(), it, true);
   }
   it.accepted(m.match());
-  const auto& transfer = it.transfer;
-  if (transfer.snapshot && transfer.snapshot->index() <= it.match()) {
-    it.transfer = {};
-  }
+  const auto& snapshot = it.transfer.snapshot();
+  if (snapshot && snapshot->index() <= it.match()) it.transfer = {};
   advance_commit();
   if (!feeds_slowly(it)) send_append(m.from(), it, false);
 }
@@ -155,11 +157,19 @@
   return it.learner && it.next() > told_commit_;
 }
 
+/// What a follower may be behind with the log as it comes, however slow its
+/// disk, and no less than what keeps a quick one busy.
+size_t raft::window_bytes() const {
+  const size_t lately =
+      std::accumulate(proposed_.begin(), proposed_.end(), size_t{0});
+  return std::max(settings_.window_bytes, lately);
+}
+
 /// True where more of the log may be on its way to the follower.
 bool raft::has_more_for(const follower_progress& it) const {
   return !it.probing() && it.next() <= log_.last_index() &&
          it.next() - it.match() <= settings_.window &&
-         it.bytes_out() < settings_.window_bytes;
+         it.bytes_out() < window_bytes();
 }
 
 void raft::send_commit() {
@@ -199,120 +209,6 @@
   send_commit();
 }
 
-void raft::refresh_progress() {
-  std::map<std::string, follower_progress> fresh;
-  const auto keep = [&](const proto::replica& member, bool learner) {
-    if (member.box() == settings_.self.str()) return;
-    follower_progress& it = fresh[member.box()];
-    const auto old = progress_.find(member.box());
-    const bool same =
-        old != progress_.end() && old->second.identity == member.identity();
-    if (same) it = old->second;
-    if (!same) it.start_after(log_.last_index());
-    it.identity = member.identity();
-    it.learner = learner;
-  };
-  for (const proto::replica& it : members().voters()) keep(it, false);
-  for (const proto::replica& it : members().learners()) keep(it, true);
-  progress_ = std::move(fresh);
-}
-
-bool raft::membership_settled() const {
-  const bool pending =
-      !memberships_.empty() && memberships_.rbegin()->first > commit_;
-  return !pending && log_.term_at(commit_) == term_;
-}
-
-/// Repairs the membership one step at a time: a box that lost its data folder
-/// leaves as the old replica, joins as a learner, and votes once it holds the
-/// log.
-void raft::review_membership() {
-  if (!membership_settled()) return;
-  if (admit_stranger()) return;
-  if (promote_learner()) return;
-  remove_surplus();
-}
-
-bool raft::remove_surplus() {
-  const auto n = static_cast<unsigned>(members().voters_size());
-  if (settings_.wanted_voters == 0 || n <= settings_.wanted_voters) {
-    return false;
-  }
-  for (const proto::replica& voter : members().voters()) {
-    const auto it = progress_.find(voter.box());
-    if (it == progress_.end()) continue;
-    if (it->second.silent_ticks < settings_.silent_ticks) continue;
-    return propose_membership(without_box(members(), voter.box())).ok();
-  }
-  return false;
-}
-
-bool raft::admit_stranger() {
-  for (const auto& [box, identity] : strangers_) {
-    if (is_member(members(), box, identity)) continue;
-    proto::membership next = without_box(members(), box);
-    const bool was_voter = find_voter(members(), box) != nullptr;
-    if (was_voter && next.voters_size() == 0) continue;
-    if (!was_voter) {
-      proto::replica* it = next.add_learners();
-      it->set_box(box);
-      it->set_identity(identity);
-    }
-    return propose_membership(next).ok();
-  }
-  strangers_.clear();
-  return false;
-}
-
-/// True while fewer voters answer than there should be.
-bool raft::wants_voter() const {
-  if (settings_.wanted_voters == 0) return true;
-  const auto& voters = members().voters();
-  const auto n = std::count_if(voters.begin(), voters.end(), [&](auto& it) {
-    const auto found = progress_.find(it.box());
-    return it.box() == settings_.self.str() ||
-           (found != progress_.end() &&
-            found->second.silent_ticks < settings_.silent_ticks);
-  });
-  return static_cast<unsigned>(n) < settings_.wanted_voters;
-}
-
-/// How many voters stand in the box's data centre.
-unsigned raft::voters_at(const std::string& box) const {
-  const auto place = places_.find(box);
-  if (place == places_.end()) return 0;
-  const auto& voters = members().voters();
-  return static_cast<unsigned>(
-      std::count_if(voters.begin(), voters.end(), [&](auto& it) {
-        const auto found = places_.find(it.box());
-        return found != places_.end() && found->second == place->second;
-      }));
-}
-
-bool raft::is_caught_up(const follower_progress& it) const {
-  return it.silent_ticks <= settings_.heartbeat_ticks &&
-         it.match() >= std::min(commit_, told_commit_);
-}
-
-/// Of the learners that hold the log one in the data centre with the fewest
-/// voters.
-bool raft::promote_learner() {
-  if (!wants_voter()) return false;
-  const proto::replica* best = nullptr;
-  for (const proto::replica& learner : members().learners()) {
-    const auto it = progress_.find(learner.box());
-    if (it == progress_.end() || !is_caught_up(it->second)) continue;
-    const bool better =
-        best == nullptr || voters_at(learner.box()) < voters_at(best->box());
-    if (better) best = &learner;
-  }
-  if (best == nullptr) return false;
-  const proto::replica chosen = *best;
-  proto::membership next = without_box(members(), chosen.box());
-  *next.add_voters() = chosen;
-  return propose_membership(next).ok();
-}
-
 std::optional<persist_batch> raft::next_batch() {
   const bool entries = unstable_from_ <= log_.last_index();
   const bool commit = commit_ > handed_commit_;
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -106,9 +106,11 @@
 }
 
 void raft::leader_tick() {
+  proposed_.push_back(0);
+  if (proposed_.size() > settings_.election_ticks / 2) proposed_.pop_front();
   for (auto& [box, it] : progress_) {
     ++it.silent_ticks;
-    if (it.transfer.snapshot) ++it.transfer.quiet_ticks;
+    it.transfer.tick();
   }
   if (++quiet_ticks_ >= settings_.election_ticks) {
     quiet_ticks_ = 0;
@@ -187,6 +189,7 @@
   told_commit_ = commit_;
   progress_.clear();
   strangers_.clear();
+  proposed_.assign(1, 0);
   refresh_progress();
   append_own(proto::entry_noop, "");
 }
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,7 +40,8 @@
   unsigned heartbeat_ticks = 2;
   /// Entries of one append message, or a part of a snapshot, in bytes.
   size_t batch_bytes = 64 << 10;
-  /// What may be sent ahead of the follower's acknowledgement, in bytes and in
+  /// What may be sent ahead of the follower's acknowledgement, in bytes (or as
+  /// much as came up within half of an election time, if that is more) and in
   /// entries. What else goes to its box waits behind that: 10 ms on a link of
   /// 200 Mbit/s, which carries 32 MB/s so with a way and a sync of 8 ms.
   size_t window_bytes = 256 << 10;
@@ -160,7 +162,7 @@
   void reset_timeout();
   bool self_votes() const;
 
-  // Log: raft-replication.cc.
+  // Log: raft-replication.cc; members: raft-members.cc.
   void append_own(proto::entry_kind kind, std::string payload);
   void on_append(const proto::raft_message& m);
   void refuse_append(const proto::raft_message& m);
@@ -173,6 +175,7 @@
   void send_commit();
   bool feeds_slowly(const follower_progress& it) const;
   bool has_more_for(const follower_progress& it) const;
+  size_t window_bytes() const;
   void advance_commit();
   void truncate_from(uint64_t index);
   void note_membership(const proto::log_entry& entry);
@@ -222,6 +225,8 @@
   std::map<std::string, follower_progress> progress_;
   std::map<std::string, std::string> strangers_;
   std::map<std::string, data_centre_id> places_;
+  // Bytes of the leader's own entries in each of the last ticks.
+  std::deque<size_t> proposed_;
   // What was committed when the last heartbeat went out.
   uint64_t told_commit_ = 0;
 
--- a/consensus/returning-follower-test.cc
+++ b/consensus/returning-follower-test.cc
@@ -18,13 +18,12 @@
 
 constexpr int boxes = 5;
 /// 200 Mbit/s.
-constexpr size_t link_bytes_per_ms = 25'000;
+constexpr double link_bytes_per_ms = 25'000;
 /// Answers to heartbeats share the connection; those after 450 ms are late.
 constexpr int most_wait_ms = 200;
 constexpr int tick_ms = 100;
 /// Messages of so long wait for a connection that is being made.
 constexpr int dial_ms = 700;
-constexpr int way_ms = 1;
 
 struct scenario {
   const char* name;
@@ -35,6 +34,12 @@
   // When the leader compacts its log during the cut, and to how much; 0: never.
   int compacted_ms = 0;
   size_t state_bytes = 0;
+  int way_ms = 1;
+  int sync_ms = 0;
+  // Times that it compacts, as long after each other.
+  int compactions = 1;
+  // Of a link of their own to those that were cut off; 0: the common one.
+  double slow_bytes_per_ms = 0;
 };
 
 struct message_on_way {
@@ -94,10 +99,26 @@
     replicas_[0]->compact(snapshot);
   }
 
+  /// These crash, so that the leader needs one that was cut off.
+  void crash(int first, int last) {
+    for (int i = first; i <= last; ++i) dead_[i] = true;
+  }
+
   bool caught_up() const {
-    return std::all_of(replicas_.begin(), replicas_.end(), [&](const auto& it) {
-      return it->commit_index() + 5 > replicas_[0]->commit_index();
-    });
+    for (int i = 0; i < boxes; ++i) {
+      // What comes up while an entry and its commit are on their way.
+      constexpr int entry_ms = 15;
+      const auto near =
+          static_cast<uint64_t>(5 + 4 * scenario_.way_ms / entry_ms);
+      const uint64_t last = replicas_[0]->log().last_index();
+      if (!dead_[i] && replicas_[i]->commit_index() + near < last) return false;
+    }
+    return true;
+  }
+  int longest_round_ms() const { return longest_round_ms_; }
+  size_t uncommitted() const {
+    const raft& leader = *replicas_[0];
+    return leader.log().last_index() - leader.commit_index();
   }
   size_t bytes_sent() const { return bytes_sent_; }
   int longest_wait_ms() const { return longest_wait_ms_; }
@@ -112,15 +133,28 @@
       CHECK_TRUE(index.ok());
     }
     for (int i = 0; i < boxes; ++i) {
-      if (now_ % tick_ms == i) replicas_[i]->tick();
+      if (now_ % tick_ms == i && !dead_[i]) replicas_[i]->tick();
       take(i);
     }
     deliver();
+    note_round();
+  }
+
+  void note_round() {
+    const uint64_t round = replicas_[0]->quorum_round();
+    if (round != last_round_) round_at_ = now_;
+    last_round_ = round;
+    if (counting_) {
+      longest_round_ms_ = std::max(longest_round_ms_, now_ - round_at_);
+    }
   }
 
   void take(int i) {
+    if (dead_[i]) return;
+    if (sync_due_[i] == now_) replicas_[i]->persisted();
     raft_actions actions = replicas_[i]->take();
-    if (actions.persist) replicas_[i]->persisted();
+    if (actions.persist && scenario_.sync_ms == 0) replicas_[i]->persisted();
+    if (actions.persist) sync_due_[i] = now_ + scenario_.sync_ms;
     for (const proto::raft_message& it : actions.messages) send(i, it);
   }
 
@@ -138,18 +172,20 @@
       return;
     }
     if (from == 0) return put_on_link(it);
-    on_way_.push_back({now_ + way_ms, now_, it});
+    on_way_.push_back({now_ + scenario_.way_ms, now_, it});
   }
 
   void put_on_link(const proto::raft_message& it) {
-    const double length = static_cast<double>(it.ByteSizeLong());
-    link_free_at_ = std::max(link_free_at_, static_cast<double>(now_)) +
-                    length / link_bytes_per_ms;
-    const int due = static_cast<int>(link_free_at_) + way_ms;
+    const bool returns = it.to().back() - '0' >= boxes - scenario_.cut;
+    const bool slow = returns && scenario_.slow_bytes_per_ms > 0;
+    const double rate = slow ? scenario_.slow_bytes_per_ms : link_bytes_per_ms;
+    double& free_at = slow ? slow_link_free_at_ : link_free_at_;
+    free_at = std::max(free_at, static_cast<double>(now_)) +
+              static_cast<double>(it.ByteSizeLong()) / rate;
+    const int due = static_cast<int>(free_at) + scenario_.way_ms;
     on_way_.push_back({due, now_, it});
     if (!counting_) return;
     longest_wait_ms_ = std::max(longest_wait_ms_, due - now_);
-    const bool returns = it.to().back() - '0' >= boxes - scenario_.cut;
     if (returns) bytes_sent_ += it.ByteSizeLong();
   }
 
@@ -161,7 +197,8 @@
       return true;
     });
     for (const proto::raft_message& it : due) {
-      replicas_[it.to().back() - '0']->step(it);
+      const int to = it.to().back() - '0';
+      if (!dead_[to]) replicas_[to]->step(it);
     }
   }
 
@@ -175,9 +212,15 @@
   int first_cut_ = boxes;
   int now_ = 0;
   double link_free_at_ = 0;
+  double slow_link_free_at_ = 0;
   bool counting_ = false;
   size_t bytes_sent_ = 0;
   int longest_wait_ms_ = 0;
+  std::array<bool, boxes> dead_{};
+  std::array<int, boxes> sync_due_{-1, -1, -1, -1, -1};
+  uint64_t last_round_ = 0;
+  int round_at_ = 0;
+  int longest_round_ms_ = 0;
 };
 
 void check_within(size_t most, size_t found, const char* name,
@@ -203,13 +246,19 @@
        4'000 * kilobyte},
       {"two boxes, a large state", 7'000, 2, 10 * kilobyte, 3'000,
        16'000 * kilobyte},
+      {"two boxes, compacted three times", 7'000, 2, 2 * kilobyte, 6'000,
+       4'000 * kilobyte, 1, 0, 3},
+      {"a long way", 7'000, 2, 10 * kilobyte, 0, 0, 20},
   };
   for (const scenario& it : rows) {
     cluster all(it);
     all.lead();
     all.cut();
-    all.pass(it.compacted_ms);
-    if (it.compacted_ms > 0) all.compact();
+    const int pause = it.compacted_ms / it.compactions;
+    for (int i = 0; pause > 0 && i < it.compactions; ++i) {
+      all.pass(pause);
+      all.compact();
+    }
     all.pass(it.cut_ms - it.compacted_ms);
     all.heal();
     all.pass(5'000);
@@ -222,3 +271,53 @@
     check_within(most_wait_ms, all.longest_wait_ms(), it.name, "wait in ms");
   }
 }
+
+// While the voter that a majority needed got a snapshot, no round was answered
+// and the leader could decide nothing.
+TEST(returning_follower, answers_rounds_while_it_gets_a_snapshot) {
+  constexpr int lease_ms = 650;
+  for (const int way : {1, 10, 25}) {
+    const scenario it{"a needed voter", 3'000, 1, 1'000, 2'000,
+                      16'000'000,       way};
+    cluster all(it);
+    all.lead();
+    all.cut();
+    all.pass(it.compacted_ms);
+    all.compact();
+    all.pass(it.cut_ms - it.compacted_ms);
+    all.heal();
+    all.crash(2, 3);
+    all.pass(8'000);
+    check_within(lease_ms, all.longest_round_ms(), it.name, "round in ms");
+    CHECK_TEXT(all.caught_up(), str_cat("way ", way).c_str());
+  }
+}
+
+// The bound on what is on its way held up commits where disks are slow.
+TEST(returning_follower, slow_disks_commit_as_much_as_comes) {
+  for (const int sync : {0, 60, 120}) {
+    scenario it{"slow disks", 0, 0, 40'000};
+    it.sync_ms = sync;
+    cluster all(it);
+    all.lead();
+    all.pass(15'000);
+    constexpr size_t most_behind = 40;
+    check_within(most_behind, all.uncommitted(), it.name, "uncommitted");
+  }
+}
+
+// Parts went out again while the first ones were still on their way, faster
+// than a slow link carries them.
+TEST(returning_follower, gets_a_snapshot_over_a_slow_link) {
+  scenario it{"slow link", 2'000, 1, 500, 1'000, 1'000'000};
+  it.slow_bytes_per_ms = 60;
+  cluster all(it);
+  all.lead();
+  all.cut();
+  all.pass(it.compacted_ms);
+  all.compact();
+  all.pass(it.cut_ms - it.compacted_ms);
+  all.heal();
+  all.pass(120'000);
+  CHECK_TRUE(all.caught_up());
+}
