Workers are sent round only where another box reaches the leader better

The boxes tell each other now how long calls are on their way to and from the leader without the time that it had them, as a moving average that ends with what it was seen by. A box refuses what it can't pass on only where its way takes over 200 ms and another's under 100, or where nothing was answered for 1 s, late answers counted; workers are not sent to such a box. A slow leader makes all ways long, and nobody is sent round.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -255,6 +255,9 @@
   fleet::fleet_frame frame;
   frame.mutable_hello()->set_data_centre(context_.settings.data_centre.str());
   frame.mutable_hello()->set_beat_address(context_.settings.control_address);
+  if (const auto way = intake_.way(); way && !controller_.leading()) {
+    frame.mutable_hello()->set_way_ms(static_cast<uint64_t>(way->count()));
+  }
   const proto::membership& members = replica_->state().members();
   for (const auto& all : {members.voters(), members.learners()}) {
     for (const proto::replica& it : all) {
@@ -337,6 +340,8 @@
   check_role();
   controller_.tick();
   send_answers();
+  directory_.know_own_way(intake_.way());
+  intake_.know_way_elsewhere(directory_.shortest_way(context_.clock.now()));
   intake_.expire();
   pass_on();
   greet_controls();
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fleet/beat-order.h"
+#include "fleet/intake-directory.h"
 #include "fleet/worker-life.h"
 #include "kernel/log.h"
 
@@ -26,6 +27,8 @@
 constexpr size_t narrow_percent = 75;
 constexpr size_t percent = 100;
 constexpr milliseconds narrow_again_after{300};
+/// Of what is seen of the way, the last one counts for one in so many.
+constexpr int way_weight = 8;
 
 run_key key_of(const fleet::running_row& row) {
   return {to_key(row.task()), run_number(row.run())};
@@ -61,7 +64,9 @@
   if (before == call_state::waits) --news_;
   if (before == call_state::out) --out_;
   if (state == call_state::waits) ++news_;
-  if (state == call_state::out && out_++ == 0) unanswered_since_ = clock_.now();
+  if (state != call_state::out) return;
+  ++out_;
+  if (!std::exchange(unanswered_, true)) unanswered_since_ = clock_.now();
 }
 
 void beat_intake::refuse(const fleet::worker_beat& beat,
@@ -117,15 +122,9 @@
 }
 
 /// The leader answered: soon enough, or later than it should.
-void beat_intake::note_answer(const caller& it,
-                              const fleet::beat_answer& answer) {
-  const time_point now = clock_.now();
-  const milliseconds passed = now - it.passed_at;
-  if (passed > settings_.answer_slow) {
+void beat_intake::note_answer(const caller& it) {
+  if (clock_.now() - it.passed_at > settings_.answer_slow) {
     ++slow_;
-    const milliseconds at_leader(static_cast<int64_t>(answer.leader_ms()));
-    const bool told = answer.has_leader_ms();
-    if (told && passed - at_leader > settings_.way_slow) ++slow_ways_;
     return narrow();
   }
   ++quick_;
@@ -138,8 +137,7 @@
   narrowed_at_ = now;
   // Calls with ends wait for the log, which may be slow where the leader isn't.
   const bool most_are_slow = slow_ > quick_;
-  way_is_slow_ = most_are_slow && 2 * slow_ways_ > slow_;
-  slow_ = quick_ = slow_ways_ = 0;
+  slow_ = quick_ = 0;
   if (!most_are_slow) return;
   window_ = std::max(
       settings_.least_window,
@@ -153,11 +151,31 @@
   longest_put_off_ = {};
 }
 
-/// True where another box may have a better way to the leader.
+/// Answers that come too late for their callers tell of the way, too.
+void beat_intake::note_way(const caller& it, const fleet::beat_answer& answer) {
+  const time_point now = clock_.now();
+  unanswered_ = out_ > 0;
+  unanswered_since_ = now;
+  if (!answer.has_leader_ms()) return;
+  if (answer.sequence() != it.told_sequence) return;
+  const milliseconds at_leader(static_cast<int64_t>(answer.leader_ms()));
+  const milliseconds seen = now - it.passed_at - at_leader;
+  way_ = way() ? (way_ * (detail::way_weight - 1) + seen) / detail::way_weight
+               : seen;
+  way_seen_ = now;
+}
+
+std::optional<milliseconds> beat_intake::way() const {
+  const bool known = way_seen_ != time_point{} &&
+                     clock_.now() - way_seen_ < settings_.way_known_for;
+  return known ? std::optional(way_) : std::nullopt;
+}
+
+/// True where another box reaches the leader better.
 bool beat_intake::is_out_of_reach() const {
   const bool silent =
-      out_ > 0 && clock_.now() - unanswered_since_ >= settings_.unanswered;
-  return way_is_slow_ || silent;
+      unanswered_ && clock_.now() - unanswered_since_ >= settings_.unanswered;
+  return silent || is_slow_way(way(), elsewhere_);
 }
 
 /// There is no room for the call now. Its worker comes again, or turns to
@@ -244,15 +262,15 @@
     const auto found = callers_.find(answer.worker());
     if (found == callers_.end()) continue;
     caller& it = found->second;
+    note_way(it, answer);
     if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
     if (answer.response().wants_whole()) {
       it.told_to.clear();
       set_state(it, call_state::waits);
       continue;
     }
-    unanswered_since_ = clock_.now();
     // A held call's answer comes late on purpose.
-    if (it.state == call_state::out) note_answer(it, answer);
+    if (it.state == call_state::out) note_answer(it);
     set_state(it, answer.held() ? call_state::held : call_state::none);
     if (answer.held()) continue;
     std::exchange(it.respond, nullptr)(answer.response());
@@ -264,8 +282,8 @@
     if (it.respond) set_state(it, call_state::waits);
   }
   window_ = settings_.first_window;
-  unanswered_since_ = clock_.now();
-  way_is_slow_ = false;
+  unanswered_ = false;
+  way_seen_ = {};
 }
 
 void beat_intake::expire() {
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,10 +41,10 @@
   /// rest of the worker's second is too short for the leader's answer.
   milliseconds come_again_after{100};
   milliseconds come_again_in{200};
-  /// Where answers take so long on their way alone, or none has come for
-  /// `unanswered`, the leader is better reached by another box.
-  milliseconds way_slow{200};
+  /// Where no call was answered for so long, another box may reach the leader.
   milliseconds unanswered{1'000};
+  /// What was seen of the way tells nothing any more after this.
+  milliseconds way_known_for{2'000};
 };
 
 /// Reads heartbeats for the leader and passes on only what changed. It grants
@@ -81,6 +82,11 @@
   void expire();
   /// Calls that wait for an answer.
   size_t waiting() const;
+  /// How long calls and answers were on their way to and from the leader of
+  /// late, without the time that it had them; none where none went.
+  std::optional<milliseconds> way() const;
+  /// The shortest that another box tells of its way.
+  void know_way_elsewhere(std::optional<milliseconds> it) { elsewhere_ = it; }
 
  private:
   using row_map = std::map<run_key, fleet::running_row>;
@@ -107,7 +113,8 @@
 
   void refuse(const fleet::worker_beat& beat, const respond_function& respond);
   std::vector<caller*> next_callers();
-  void note_answer(const caller& it, const fleet::beat_answer& answer);
+  void note_answer(const caller& it);
+  void note_way(const caller& it, const fleet::beat_answer& answer);
   void narrow();
   bool is_out_of_reach() const;
   void put_off(caller& it);
@@ -131,10 +138,12 @@
   // Answers since then, by whether they came in time.
   size_t slow_ = 0;
   size_t quick_ = 0;
-  // Whether the way was why, for most of the slow ones when that was last
-  // judged, and since when calls are out and no answer came.
-  size_t slow_ways_ = 0;
-  bool way_is_slow_ = false;
+  // A moving average of the way, and when something was last seen of it.
+  milliseconds way_{0};
+  time_point way_seen_{};
+  std::optional<milliseconds> elsewhere_;
+  // Calls were passed on since the last answer, the first one then.
+  bool unanswered_ = false;
   time_point unanswered_since_{};
   // The longest that a worker was put off, since that was told last.
   milliseconds longest_put_off_{0};
--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -91,14 +91,19 @@
   uint64_t read = 0;
   time_point read_at{};
 };
+struct sent_batch {
+  time_point at;
+  fleet::beat_batch batch;
+};
 struct intake_box {
   intake_box(clock_source& clock, metrics_registry& metrics)
       : intake({}, clock, metrics) {}
   beat_intake intake;
-  std::deque<fleet::beat_batch> sent;
+  std::deque<sent_batch> sent;
   std::deque<slow::passed_answer> replies;
-  // How long the leader's answers to this box are on their way.
+  // How long the leader's answers to this box, and its calls, are on their way.
   milliseconds answers_late{0};
+  milliseconds calls_late{0};
 };
 struct entry {
   time_point lasts;
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,9 +62,13 @@
     }
   }
 
-  /// The leader's answers take so long to that box from now on.
-  void delay_answers(int box, milliseconds by) {
-    boxes_[static_cast<size_t>(box)]->answers_late = by;
+  /// The leader's answers take so long to the first `n` boxes from now on, and
+  /// their calls so long to it.
+  void delay(int n, milliseconds answers, milliseconds calls) {
+    for (size_t i = 0; i < static_cast<size_t>(n); ++i) {
+      boxes_[i]->answers_late = answers;
+      boxes_[i]->calls_late = calls;
+    }
   }
 
   void set_jobs_per_s(double n) { setting_.jobs_per_s = n; }
@@ -106,6 +111,7 @@
   void one_step() {
     clock_.advance(step_time);
     come();
+    share_ways();
     for (auto& box : boxes_) pass_on(*box);
     spare_us_ = std::min(spare_us_ + us_per_step, us_per_step);
     // What a step costs beyond what is left holds up the next ones.
@@ -130,6 +136,20 @@
     submissions_.push_back(test_world::make_submit(job, {step}));
   }
 
+  /// The boxes tell each other of their ways to the leader.
+  void share_ways() {
+    if (clock_.now() % tick_interval != milliseconds(0)) return;
+    for (auto& box : boxes_) {
+      std::optional<milliseconds> shortest;
+      for (auto& other : boxes_) {
+        const auto way = other->intake.way();
+        if (&other == &box || !way) continue;
+        shortest = shortest ? std::min(*shortest, *way) : *way;
+      }
+      box->intake.know_way_elsewhere(shortest);
+    }
+  }
+
   void pass_on(intake_box& box) {
     while (!box.replies.empty() &&
            box.replies.front().arrives + box.answers_late <= clock_.now()) {
@@ -141,7 +161,8 @@
     if (clock_.now() % tick_interval == milliseconds(0)) box.intake.expire();
     if (clock_.now() % pass_on_interval != milliseconds(0)) return;
     if (box.intake.has_news()) {
-      box.sent.push_back(box.intake.collect("leader" + std::to_string(term_)));
+      box.sent.push_back(
+          {clock_.now(), box.intake.collect("leader" + std::to_string(term_))});
     }
   }
 
@@ -193,8 +214,10 @@
   }
 
   double read(intake_box& box) {
-    if (box.sent.empty()) return 0;
-    const fleet::beat_batch batch = std::move(box.sent.front());
+    const bool due = !box.sent.empty() &&
+                     box.sent.front().at + box.calls_late <= clock_.now();
+    if (!due) return 0;
+    const fleet::beat_batch batch = std::move(box.sent.front().batch);
     box.sent.pop_front();
     for (const fleet::worker_beat& it : batch.beats()) note_read(it);
     return charged(
--- a/fleet/late-intake-test.cc
+++ b/fleet/late-intake-test.cc
@@ -12,17 +12,26 @@
 /// A worker calls three times in its lease, whatever the load.
 constexpr milliseconds most_unread = longest_hold / 3;
 
-busy::outcome play_late_box(const char* name, milliseconds late) {
-  setting it{name, 880, {}};
-  it.jobs_per_s = 40;
-  it.sends_home = true;
+struct row {
+  const char* name;
+  milliseconds answers;
+  milliseconds calls{0};
+  // Boxes, of four, whose way to the leader is so long.
+  int boxes = 1;
+  milliseconds most = most_unread;
+};
+
+busy::outcome play(const row& it) {
+  setting world_setting{it.name, 880, {}};
+  world_setting.jobs_per_s = 40;
+  world_setting.sends_home = true;
   constexpr milliseconds start{3'000};
   constexpr milliseconds length{10'000};
-  busy::busy_world world(it);
+  busy::busy_world world(world_setting);
   world.pass(start);
-  world.delay_answers(0, late);
+  world.delay(it.boxes, it.answers, it.calls);
   world.pass(length);
-  world.delay_answers(0, milliseconds(0));
+  world.delay(it.boxes, milliseconds(0), milliseconds(0));
   world.pass(start);
   return world.out();
 }
@@ -34,21 +43,22 @@
 // Workers whose calls such a box put off time and again were never heard, were
 // given up on, and what they had done started again.
 TEST(late_intake, workers_that_a_box_puts_off_are_heard_all_the_same) {
-  const struct {
-    const char* name;
-    milliseconds late;
-  } rows[] = {
+  const row rows[] = {
       {"half a second late", milliseconds(500)},
       {"nearly too late", milliseconds(850)},
       {"too late", milliseconds(950)},
       {"seconds late", milliseconds(4'000)},
+      {"calls are late", milliseconds(0), milliseconds(850)},
+      {"three of four", milliseconds(500), milliseconds(0), 3},
+      // Nobody is better off elsewhere: a turn each within the lease.
+      {"all of them", milliseconds(500), milliseconds(0), 4, longest_hold},
   };
-  for (const auto& [name, late] : rows) {
-    const busy::outcome out = play_late_box(name, late);
-    STRCMP_EQUAL_TEXT("", out.wrong.c_str(), name);
-    CHECK_TRUE_TEXT(out.done > 0, name);
-    busy::check_within(most_unread, out.longest_unread, name, "unread");
-    LONGS_EQUAL_TEXT(0, out.started_again, name);
-    LONGS_EQUAL_TEXT(0, out.lapsed, name);
+  for (const row& it : rows) {
+    const busy::outcome out = play(it);
+    STRCMP_EQUAL_TEXT("", out.wrong.c_str(), it.name);
+    CHECK_TRUE_TEXT(out.done > 0, it.name);
+    busy::check_within(it.most, out.longest_unread, it.name, "unread");
+    LONGS_EQUAL_TEXT(0, out.started_again, it.name);
+    LONGS_EQUAL_TEXT(0, out.lapsed, it.name);
   }
 }
