Test of a crashing task whose leader dies with the order

Cause: the rows of crashing-task change the leader 1 s or more after a crash. No test had the box that gave the order gone by then, so that the next leader never heard the worker that crashed.

What both files share moved to their world.

--- a/fleet/crashing-task-test.cc
+++ b/fleet/crashing-task-test.cc
@@ -4,25 +4,20 @@
 #include "fleet/crashing-test-world.h"
 
 using namespace kestrelreel;
+using crashing::bad_job;
+using crashing::calm;
 using crashing::crash_settings;
 using crashing::crash_world;
+using crashing::is_bad;
+using crashing::long_enough;
+using crashing::most_late_starts;
 using crashing::road;
+using crashing::serving_job;
 
 namespace {
 
-constexpr uint64_t bad_job = 66;
-constexpr uint64_t serving_job = 5;
-/// The users allow two starts more after the third crash.
-constexpr int most_late_starts = 2;
 /// Workers that one bad task may cost when nothing else happens.
 constexpr int most_crashes = 3;
-constexpr milliseconds long_enough{90'000};
-/// After which no crash can follow any more.
-constexpr milliseconds calm{20'000};
-
-bool is_bad(const task_key& it) {
-  return it.job.value() == bad_job && it.index == 0;
-}
 
 fleet::step_spec make_bad(const char* kind) {
   const std::string name = kind;
--- a/fleet/crashing-test-world.h
+++ b/fleet/crashing-test-world.h
@@ -17,6 +17,19 @@
 using cancelled::call_pause;
 using cancelled::road;
 
+/// The job whose first task crashes its workers, and one that lasts.
+constexpr uint64_t bad_job = 66;
+constexpr uint64_t serving_job = 5;
+/// The users allow two starts more after the third crash.
+constexpr int most_late_starts = 2;
+constexpr milliseconds long_enough{90'000};
+/// After which no crash can follow any more.
+constexpr milliseconds calm{20'000};
+
+inline bool is_bad(const task_key& it) {
+  return it.job.value() == bad_job && it.index == 0;
+}
+
 /// How workers behave, and what happens around them.
 struct crash_settings {
   size_t workers = 8;
@@ -28,6 +41,10 @@
   milliseconds crashes_after{10};
   /// Another box leads so long after each crash; 0: none does.
   milliseconds leader_changes_after{0};
+  /// Another box leads so long after each of the first starts of crashing
+  /// tasks, so that the giver of the order doesn't see the crash.
+  milliseconds giver_dies_after{0};
+  int givers_that_die = 0;
   /// The leader's state is saved and loaded after each crash.
   bool reloads = false;
 };
@@ -92,7 +109,9 @@
     slot& it = workers_[worker];
     it.life.reset();
     it.returns_at = all.clock.now() + settings_.returns_after;
-    leader_changes_at_ = all.clock.now() + settings_.leader_changes_after;
+    if (settings_.leader_changes_after.count() > 0) {
+      leader_changes_at_ = all.clock.now() + settings_.leader_changes_after;
+    }
     if (settings_.reloads) {
       const std::string saved = all.book().save();
       CHECK_TRUE(all.leader().installed(saved).ok());
@@ -258,23 +277,26 @@
     row.set_run(start.run());
     ++starts[run.task];
     if (!crashes(run.task)) return;
+    if (givers_died_ < settings_.givers_that_die) {
+      ++givers_died_;
+      leader_changes_at_ = all.clock.now() + settings_.giver_dies_after;
+    }
     constexpr int most_crashes = 3;
     if (crashes_of[run.task]++ >= most_crashes) ++late_starts;
     it.crashes_at = all.clock.now() + settings_.crashes_after;
   }
 
   void change_leader_if_due() {
-    if (settings_.leader_changes_after.count() == 0) return;
-    if (leader_changes_at_ == time_point{}) return;
-    if (all.clock.now() < leader_changes_at_) return;
-    leader_changes_at_ = {};
+    if (!leader_changes_at_ || all.clock.now() < *leader_changes_at_) return;
+    leader_changes_at_.reset();
     all.elect(1 - all.leads());
   }
 
   crash_settings settings_;
   std::vector<slot> workers_;
   std::map<uint64_t, fleet::job_phase> phases_;
-  time_point leader_changes_at_{};
+  std::optional<time_point> leader_changes_at_;
+  int givers_died_ = 0;
 };
 
 }  // namespace kestrelreel::crashing
