Test of a room that shrinks around a change of leader

Cause: shrinking-room kept one leader; none of its tests had starts on their way that the next leader would send again into the smaller room.

Change: a test of 36 rows: four roads, a room that shrinks by one, by two or below what runs there, before, with or after the change, two starts that were never received, and a burst that waits. What is left of the room is filled and no more, and all of it once it has grown.

--- a/fleet/shrinking-room-test.cc
+++ b/fleet/shrinking-room-test.cc
@@ -1,6 +1,10 @@
 // A worker whose room shrank was given starts for the room that it had.
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <string>
+
+#include "base/text.h"
 #include "fleet/cancelled-test-world.h"
 
 using namespace kestrelreel;
@@ -189,3 +193,78 @@
     all.pass(call_pause);
   }
 }
+
+namespace {
+
+/// When the room shrinks, seen from the leader's change.
+enum class shrinks { before, meanwhile, after };
+
+/// How far a room of four processors shrinks while two runs are listed and two
+/// starts are on their way.
+struct change {
+  const char* name;
+  shrinks when;
+  uint64_t cpu_milli;
+};
+
+const change changes[] = {
+    {"before, by one", shrinks::before, 3'000},
+    {"before, by two", shrinks::before, 2'000},
+    {"before, below what runs", shrinks::before, 1'000},
+    {"meanwhile, by one", shrinks::meanwhile, 3'000},
+    {"meanwhile, by two", shrinks::meanwhile, 2'000},
+    {"meanwhile, below what runs", shrinks::meanwhile, 1'000},
+    {"after, by one", shrinks::after, 3'000},
+    {"after, by two", shrinks::after, 2'000},
+    {"after, below what runs", shrinks::after, 1'000},
+};
+
+void shrink_around_a_change(boxes& all, roomy_worker& worker,
+                            const change& it) {
+  worker.deaf = true;
+  submit(all, 2, 2);
+  worker.call_for(milliseconds(400));
+  const auto shrink_at = [&](shrinks when) {
+    if (it.when != when) return;
+    worker.set_room(it.cpu_milli);
+    if (when != shrinks::meanwhile) worker.call();
+  };
+  shrink_at(shrinks::before);
+  all.elect(1);
+  shrink_at(shrinks::meanwhile);
+  if (it.when == shrinks::after) worker.call();
+  shrink_at(shrinks::after);
+  worker.deaf = false;
+}
+
+}  // namespace
+
+// The leader that ordered the starts is gone, and a burst waits.
+TEST(shrinking_room, next_leader_sends_no_earlier_start_that_no_longer_fits) {
+  for (const row& it : rows) {
+    for (const change& c : changes) {
+      const std::string name = str_cat(it.name, ", ", c.name);
+      boxes all;
+      configure(all, it.guards);
+      roomy_worker worker(all, it.calls_by);
+      worker.call();
+      submit(all, 1, 2);
+      worker.call_for(milliseconds(400));
+      LONGS_EQUAL_TEXT(2, worker.beat().running_size(), name.c_str());
+      shrink_around_a_change(all, worker, c);
+      submit(all, 3, 4);
+      const int room = static_cast<int>(c.cpu_milli / 1'000);
+      for (int i = 0; i < 40; ++i) {
+        worker.call();
+        CHECK_TRUE_TEXT(worker.beat().running_size() <= std::max(room, 2),
+                        name.c_str());
+        all.pass(call_pause);
+      }
+      LONGS_EQUAL_TEXT(std::max(room, 2), worker.beat().running_size(),
+                       name.c_str());
+      worker.set_room(4'000);
+      worker.call_for(milliseconds(1'000));
+      LONGS_EQUAL_TEXT(4, worker.beat().running_size(), name.c_str());
+    }
+  }
+}
