--- /dev/null
+++ b/fleet/controller-leases-test.cc
@@ -0,0 +1,142 @@
+// Leases of workers and of the leader: who may be given a start, and until
+// when.
+#include <CppUTest/TestHarness.h>
+
+#include "fleet/controller-test-group.h"
+
+using namespace kestrelreel;
+
+TEST_GROUP_BASE(controller_leases, controller_test){};
+
+TEST(controller_leases, without_the_lease_nothing_is_decided) {
+  run_one();
+  world.log.decides = false;
+  LONGS_EQUAL(fleet::fleet_unavailable, world.state(7).status());
+  LONGS_EQUAL(0, world.beat("a").hold_ms());
+}
+
+TEST(controller_leases, silent_worker_keeps_its_task_until_its_lease_is_over) {
+  run_one();
+  const milliseconds over = world.controller.workers().leases().over_after();
+  world.beat("b");
+  for (milliseconds at{0}; at < over - milliseconds(300);
+       at += milliseconds(100)) {
+    world.pass(milliseconds(100));
+    LONGS_EQUAL(0, world.beat("b").starts_size());
+  }
+  world.pass(milliseconds(400));
+  const fleet::worker_orders orders = world.beat("b");
+  LONGS_EQUAL(1, orders.starts_size());
+  LONGS_EQUAL(2, orders.starts(0).run());
+}
+
+TEST(controller_leases, new_leader_waits_out_the_leases_of_the_last) {
+  run_one();
+  const std::string state = world.controller.book().save();
+  test_world next;
+  next.controller.leads(false);
+  next.log.leader_term = 2;
+  CHECK_TRUE(next.controller.installed(state).ok());
+  next.controller.leads(true);
+  next.beat("b");
+  next.pass(milliseconds(3'500));
+  LONGS_EQUAL(0, next.beat("b").starts_size());
+  next.pass(milliseconds(1'000));
+  const fleet::worker_orders orders = next.beat("b");
+  LONGS_EQUAL(1, orders.starts_size());
+  LONGS_EQUAL(2, orders.starts(0).run());
+  LONGS_EQUAL(2, orders.fence());
+}
+
+TEST(controller_leases, new_leader_takes_over_what_the_worker_lists) {
+  run_one();
+  test_world next;
+  next.controller.leads(false);
+  CHECK_TRUE(next.controller.installed(world.controller.book().save()).ok());
+  next.controller.leads(true);
+  next.workers["a"] = world.workers["a"];
+  LONGS_EQUAL(0, next.beat("a").starts_size());
+  for (int i = 0; i < 60; ++i) {
+    next.pass(milliseconds(200));
+    next.beat("a");
+    LONGS_EQUAL(0, next.beat("b").starts_size());
+  }
+  next.end("a", task(7, 0, 0), 1, fleet::run_done);
+  next.beat("a");
+  LONGS_EQUAL(fleet::job_succeeded, next.state(7).phase());
+}
+
+TEST(controller_leases, crashed_machine_back_under_a_new_id_frees_its_tasks) {
+  run_one();
+  world.workers["a2"].set_address("a:1");
+  world.workers["a2"].set_worker("a2");
+  world.workers["a2"].set_pool("pool");
+  world.workers["a2"].set_cpu_milli(4'000);
+  world.workers["a2"].set_memory_mb(1'000);
+  world.pass(milliseconds(100));
+  for (int i = 0; i < 10; ++i) {
+    LONGS_EQUAL(0, world.beat("a2").starts_size());
+    world.pass(milliseconds(200));
+  }
+  world.pass(milliseconds(100));
+  const fleet::worker_orders orders = world.beat("a2");
+  LONGS_EQUAL(1, orders.starts_size());
+  LONGS_EQUAL(2, orders.starts(0).run());
+}
+
+TEST(controller_leases, late_and_crossed_heartbeats_prolong_nothing) {
+  run_one();
+  fleet::fleet_request old;
+  *old.mutable_beat() = world.workers["a"];
+  world.beat("a");
+  LONGS_EQUAL(0, world.ask(old).orders().hold_ms());
+  // Sent five seconds ago by the worker's own clock.
+  fleet::fleet_request late;
+  *late.mutable_beat() = world.workers["a"];
+  late.mutable_beat()->set_sequence(99);
+  world.clock.advance(milliseconds(5'000));
+  LONGS_EQUAL(0, world.ask(late).orders().hold_ms());
+}
+
+TEST(controller_leases,
+     lost_leadership_leaves_outcomes_unknown_once_handed_over) {
+  struct row {
+    const char* name;
+    bool handed_to_the_log;
+    fleet::fleet_status status;
+  };
+  const row rows[] = {
+      {"not yet in the log", false, fleet::fleet_unavailable},
+      {"in the log", true, fleet::fleet_unknown},
+  };
+  for (const row& it : rows) {
+    test_world fresh;
+    fresh.configure();
+    fleet::fleet_status status = fleet::fleet_ok;
+    fresh.controller.request(
+        test_world::make_submit(7, {test_world::make_step(1)}),
+        [&](const fleet::fleet_response& r) { status = r.status(); });
+    if (it.handed_to_the_log) fresh.controller.settle();
+    LONGS_EQUAL_TEXT(it.handed_to_the_log ? 1 : 0, fresh.log.proposed.size(),
+                     it.name);
+    fresh.controller.leads(false);
+    LONGS_EQUAL_TEXT(it.status, status, it.name);
+  }
+}
+
+TEST(controller_leases, few_workers_call_the_leader_itself) {
+  world.configure();
+  for (int i = 0; i < 140; ++i) {
+    STRCMP_EQUAL("leader:1",
+                 world.beat("w" + std::to_string(i)).beat_at().c_str());
+  }
+  STRCMP_EQUAL("", world.beat("w140").beat_at().c_str());
+}
+
+TEST(controller_leases, many_workers_call_less_often) {
+  world.configure();
+  const uint64_t few = world.beat("w0").next_beat_ms();
+  LONGS_EQUAL(300, few);
+  for (int i = 1; i < 4'000; ++i) world.beat("w" + std::to_string(i));
+  LONGS_EQUAL(1'000, world.beat("w0").next_beat_ms());
+}
