One reading of a file's JSON for all three kinds of settings

Cause: parse_settings, parse_seeded_settings and parse_desired_state each held the same ten lines from the text to the tree and its faults.

Change: parse_file in config/reader.h; each kind gives only how it reads a tree.

--- a/config/desired-state.cc
+++ b/config/desired-state.cc
@@ -215,16 +215,10 @@
 
 std::variant<desired_state, std::vector<config_fault>> parse_desired_state(
     const std::string& file, std::string_view text) {
-  fault_collector faults(file, text);
-  auto tree = parse_json(text);
-  if (const auto* error = std::get_if<json_error>(&tree)) {
-    faults.add(error->offset, "", error->message, "JSON with comments");
-    return faults.faults();
-  }
-  desired_state state;
-  detail::state_reader(faults, state).read(std::get<json_node>(tree));
-  if (!faults.empty()) return faults.faults();
-  return state;
+  return parse_file<desired_state>(
+      file, text, [](auto& faults, const auto& tree, auto& out) {
+        detail::state_reader(faults, out).read(tree);
+      });
 }
 
 std::string format_desired_state(const desired_state& state) {
--- a/config/reader.cc
+++ b/config/reader.cc
@@ -304,4 +304,14 @@
   }
 }
 
+std::optional<json_node> read_tree(fault_collector& faults,
+                                   std::string_view text) {
+  auto tree = parse_json(text);
+  if (const auto* error = std::get_if<json_error>(&tree)) {
+    faults.add(error->offset, "", error->message, "JSON with comments");
+    return std::nullopt;
+  }
+  return std::get<json_node>(std::move(tree));
+}
+
 }  // namespace kestrelreel
--- a/config/reader.h
+++ b/config/reader.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "base/units.h"
@@ -123,4 +125,22 @@
 /// True for a name that things may have: see `object_reader::each`.
 bool is_valid_name(std::string_view name);
 
+/// The tree of the text; nothing, and a fault, where it is not JSON.
+std::optional<json_node> read_tree(fault_collector& faults,
+                                   std::string_view text);
+
+/// A file's content as `read(faults, tree, content)` takes it from the tree, or
+/// every fault in it.
+template <typename T, typename Read>
+std::variant<T, std::vector<config_fault>> parse_file(const std::string& file,
+                                                      std::string_view text,
+                                                      Read read) {
+  fault_collector faults(file, text);
+  T content;
+  const auto tree = read_tree(faults, text);
+  if (tree) read(faults, *tree, content);
+  if (!faults.empty()) return faults.faults();
+  return content;
+}
+
 }  // namespace kestrelreel
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -102,16 +102,10 @@
 
 std::variant<seeded_settings, std::vector<config_fault>> parse_seeded_settings(
     const std::string& file, std::string_view text) {
-  fault_collector faults(file, text);
-  auto tree = parse_json(text);
-  if (const auto* error = std::get_if<json_error>(&tree)) {
-    faults.add(error->offset, "", error->message, "JSON with comments");
-    return faults.faults();
-  }
-  seeded_settings settings;
-  detail::read_all(faults, std::get<json_node>(tree), settings);
-  if (!faults.empty()) return faults.faults();
-  return settings;
+  return parse_file<seeded_settings>(
+      file, text, [](auto& faults, const auto& tree, auto& out) {
+        detail::read_all(faults, tree, out);
+      });
 }
 
 }  // namespace kestrelreel
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -138,16 +138,10 @@
 
 std::variant<process_settings, std::vector<config_fault>> parse_settings(
     const std::string& file, std::string_view text) {
-  fault_collector faults(file, text);
-  auto tree = parse_json(text);
-  if (const auto* error = std::get_if<json_error>(&tree)) {
-    faults.add(error->offset, "", error->message, "JSON with comments");
-    return faults.faults();
-  }
-  process_settings settings;
-  detail::settings_reader(faults, settings).read(std::get<json_node>(tree));
-  if (!faults.empty()) return faults.faults();
-  return settings;
+  return parse_file<process_settings>(
+      file, text, [](auto& faults, const auto& tree, auto& out) {
+        detail::settings_reader(faults, out).read(tree);
+      });
 }
 
 }  // namespace kestrelreel
