--- a/cli/main.cc
+++ b/cli/main.cc
@@ -1,11 +1,5 @@
 // kestrelreel: the operators' client.
-#include <docopt/docopt.h>
-
-#include <iostream>
-#include <map>
-#include <string>
-#include <vector>
-
+#include "base/command-line.h"
 #include "cli/commands.h"
 
 namespace kestrelreel {
@@ -73,27 +67,14 @@
 
 constexpr const char* version = "kestrelreel 0.1.0";
 
-int main_with_options(int argc, char** argv) {
-  const std::vector<std::string> arguments(argv + 1, argv + argc);
-  try {
-    auto options = docopt::docopt_parse(usage, arguments, true, true);
-    return static_cast<int>(run_command(options));
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << usage;
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << version << "\n";
-    return 0;
-  } catch (const std::exception& error) {
-    std::cerr << "kestrelreel: wrong usage: " << error.what()
-              << "\nsee kestrelreel --help\n";
-    return static_cast<int>(exit_code::usage);
-  }
-}
-
 }  // namespace
 }  // namespace kestrelreel
 
 int main(int argc, char** argv) {
-  return kestrelreel::main_with_options(argc, argv);
+  using namespace kestrelreel;
+  const program_text text{"kestrelreel", usage, version,
+                          static_cast<int>(exit_code::usage)};
+  return run_command_line(text, argc, argv, [](auto& options) {
+    return static_cast<int>(run_command(options));
+  });
 }
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <string>
 
+#include "base/command-line.h"
 #include "config/seeded-settings.h"
 #include "config/settings.h"
 #include "daemon/process.h"
@@ -130,27 +131,11 @@
   return run_process(std::move(sound), options["--new-cluster"].asBool());
 }
 
-int main_with_options(int argc, char** argv) {
-  const std::vector<std::string> arguments(argv + 1, argv + argc);
-  try {
-    auto options = docopt::docopt_parse(usage, arguments, true, true);
-    return run(options);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << usage;
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << version << "\n";
-    return 0;
-  } catch (const std::exception& error) {
-    std::cerr << "kestrelreeld: wrong usage: " << error.what()
-              << "\nsee kestrelreeld --help\n";
-    return exit_usage;
-  }
-}
-
 }  // namespace
 }  // namespace kestrelreel
 
 int main(int argc, char** argv) {
-  return kestrelreel::main_with_options(argc, argv);
+  using namespace kestrelreel;
+  const program_text text{"kestrelreeld", usage, version, exit_usage};
+  return run_command_line(text, argc, argv, run);
 }
