One way for the fleet's tests to make a worker's next heartbeat

Cause: worker-leave-test filled a heartbeat by the same lines as test_world.

Change: test_world::next_heartbeat serves both; beat_quietly is heartbeat_quietly.

--- a/fleet/fleet-test-world.h
+++ b/fleet/fleet-test-world.h
@@ -149,6 +149,8 @@
     return ask(request);
   }
 
+  /// The worker's entry in `workers`, as its next call.
+  fleet::worker_beat& next_heartbeat(const std::string& worker);
   /// A worker's heartbeat as it stands in `workers`; its orders are carried
   /// out.
   fleet::worker_orders beat(const std::string& worker);
@@ -173,7 +175,8 @@
   int answered = 0;
 };
 
-inline fleet::worker_orders test_world::beat(const std::string& worker) {
+inline fleet::worker_beat& test_world::next_heartbeat(
+    const std::string& worker) {
   fleet::worker_beat& it = workers[worker];
   if (it.worker().empty()) {
     it.set_worker(worker);
@@ -184,6 +187,11 @@
   }
   it.set_sequence(it.sequence() + 1);
   it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+  return it;
+}
+
+inline fleet::worker_orders test_world::beat(const std::string& worker) {
+  fleet::worker_beat& it = next_heartbeat(worker);
   fleet::fleet_request request;
   *request.mutable_beat() = it;
   const fleet::worker_orders orders = ask(request).orders();
--- a/fleet/worker-leave-test.cc
+++ b/fleet/worker-leave-test.cc
@@ -79,18 +79,11 @@
   }
   int ask_b() {
     const int n = workers.contains("b") ? workers["b"].running_size() : 0;
-    beat_quietly("b");
+    heartbeat_quietly("b");
     return workers["b"].running_size() - n;
   }
-  void beat_quietly(const std::string& worker) {
-    fleet::worker_beat& it = workers[worker];
-    it.set_worker(worker);
-    it.set_pool("pool");
-    it.set_address(worker + ":1");
-    it.set_cpu_milli(4'000);
-    it.set_memory_mb(1'000);
-    it.set_sequence(it.sequence() + 1);
-    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+  void heartbeat_quietly(const std::string& worker) {
+    const fleet::worker_beat& it = next_heartbeat(worker);
     fleet::fleet_request request;
     *request.mutable_beat() = it;
     controller.request(request, [this, worker](const auto& r) {
@@ -114,7 +107,7 @@
   /// Long enough for a lease to be over.
   void go_on() {
     for (int i = 0; i < 20; ++i) {
-      beat_quietly("b");
+      heartbeat_quietly("b");
       commit();
       deliver();
       pass(milliseconds(300));
@@ -221,11 +214,11 @@
 
 TEST(worker_leave, run_without_an_end_starts_again_once_no_end_can_come) {
   leave_and_pass(milliseconds(900));
-  world.beat_quietly("b");
+  world.heartbeat_quietly("b");
   world.commit();
   LONGS_EQUAL(0, world.started["b"]);
   world.pass(milliseconds(400));
-  world.beat_quietly("b");
+  world.heartbeat_quietly("b");
   world.commit();
   LONGS_EQUAL(1, world.started["b"]);
 }
@@ -335,11 +328,11 @@
   world.call(milliseconds(0));
   world.deliver();
   world.pass(milliseconds(1'900));
-  world.beat_quietly("b");
+  world.heartbeat_quietly("b");
   world.workers["b"].set_machine("m");
   for (int i = 0; i < 5; ++i) {
     world.pass(milliseconds(300));
-    world.beat_quietly("b");
+    world.heartbeat_quietly("b");
     world.commit();
   }
   CHECK_TRUE(world.controller.book().runs_on(worker_id("a")).empty());
@@ -356,7 +349,7 @@
   world.workers["a"].set_draining(false);
   world.pass(milliseconds(70'000));
   CHECK_TRUE(world.controller.workers().views().empty());
-  world.beat_quietly("a");
+  world.heartbeat_quietly("a");
   world.commit();
   LONGS_EQUAL(1, world.controller.workers().views().size());
 }
