Members say reported, written or announced in place of told

Cause: told_ and told_at stood for three things: what a box reported, what a log line wrote and what was announced to others.

Change: renames inside log-limiter, slot-lender, dispatcher, task-book-sync and fleet-record-service; no behaviour changed.

--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -340,14 +340,16 @@
   settle_soon();
 }
 
-/// Tells the controller and the connected boxes of a change.
+/// Announces a change to the controller and the connected boxes.
 void fleet_record_service::check_role() {
   const raft& it = replica_->state();
   controller_.leads(it.leads_with_state());
   const bool decides = controller_.leading() && may_decide();
   const uint64_t version = controller_.book().config().version();
   const bool changed = it.role() != last_role_ || it.leader() != last_leader_;
-  if (!changed && decides == told_deciding_ && version == told_version_) return;
+  if (!changed && decides == announced_deciding_ &&
+      version == announced_version_)
+    return;
   if (changed) {
     log_event(detail::service_name, log_level::info, "role-changed")
         .with("role", to_string(it.role()))
@@ -358,8 +360,8 @@
   if (it.leader() != last_leader_) intake_.leader_changed();
   last_role_ = it.role();
   last_leader_ = it.leader();
-  told_deciding_ = decides;
-  told_version_ = version;
+  announced_deciding_ = decides;
+  announced_version_ = version;
   mesh_->tell_guests(hello());
 }
 
--- a/daemon/fleet-record-service.h
+++ b/daemon/fleet-record-service.h
@@ -93,8 +93,8 @@
   std::unique_ptr<replica> replica_;
   raft_role last_role_ = raft_role::follower;
   std::string last_leader_;
-  bool told_deciding_ = false;
-  uint64_t told_version_ = 0;
+  bool announced_deciding_ = false;
+  uint64_t announced_version_ = 0;
   bool full_ = false;
   bool settle_armed_ = false;
   time_point settled_at_{};
--- a/kernel/log-limiter.cc
+++ b/kernel/log-limiter.cc
@@ -16,7 +16,7 @@
 /// An event is rare while it has more than this share of its own lines left: 30
 /// of 100 at 400 lines a second, as many as workers that leave at once.
 constexpr double rare_above = 0.7;
-constexpr milliseconds tell_dropped_every{1'000};
+constexpr milliseconds report_dropped_every{1'000};
 /// A line of each event is written so often, whatever else is: names are few.
 constexpr milliseconds each_event_every{1'000};
 
@@ -53,7 +53,8 @@
   event_state& it = found->second;
   it.budget.refill(now);
   all_.refill(now);
-  const bool due = !it.told || now - it.told_at >= detail::each_event_every;
+  const bool due =
+      !it.written || now - it.written_at >= detail::each_event_every;
   const bool rare = it.budget.has(detail::rare_above);
   const bool own = it.budget.has(0);
   // What is refused for the others' sake counts as well: a frequent event must
@@ -61,8 +62,8 @@
   if (own) it.budget.take();
   const bool allowed = own && all_.has(rare ? 0 : detail::kept_for_rare);
   if (allowed || due) {
-    it.told = true;
-    it.told_at = now;
+    it.written = true;
+    it.written_at = now;
     if (allowed) all_.take();
     return true;
   }
@@ -72,8 +73,10 @@
 }
 
 std::string log_limiter::take_dropped(time_point now) {
-  if (!any_dropped_ || now - told_at_ < detail::tell_dropped_every) return "";
-  told_at_ = now;
+  if (!any_dropped_ ||
+      now - dropped_reported_at_ < detail::report_dropped_every)
+    return "";
+  dropped_reported_at_ = now;
   any_dropped_ = false;
   std::string out;
   for (auto& [name, it] : events_) {
--- a/kernel/log-limiter.h
+++ b/kernel/log-limiter.h
@@ -33,7 +33,7 @@
 /// Each event has one line a second whatever else is written, and a quarter of
 /// the lines at most. The last quarter of what is left over all events is kept
 /// for events that have asked for less than 30 % of theirs: what happens rarely
-/// is told also while much else is. Not thread-safe.
+/// is written also while much else is. Not thread-safe.
 class log_limiter {
  public:
   explicit log_limiter(uint64_t lines_per_s)
@@ -48,8 +48,8 @@
  private:
   struct event_state {
     line_budget budget;
-    bool told = false;
-    time_point told_at{};
+    bool written = false;
+    time_point written_at{};
     uint64_t dropped = 0;
   };
 
@@ -57,7 +57,7 @@
   line_budget all_;
   std::map<std::string, event_state, std::less<>> events_;
   bool any_dropped_ = false;
-  time_point told_at_{};
+  time_point dropped_reported_at_{};
 };
 
 }  // namespace kestrelreel
--- a/placement/task-book-sync.cc
+++ b/placement/task-book-sync.cc
@@ -279,19 +279,19 @@
   end_run(task);
 }
 
-/// Ends the runs that the worker was told of and no longer has.
+/// Ends the runs that were announced to the worker and that it no longer has.
 void task_book::end_missing(worker_entry& worker, uint64_t sequence,
                             const std::set<task_id>& reported) {
   const std::vector<task_entry*> tasks = worker.tasks;
   for (task_entry* task : tasks) {
     if (reported.contains(*task->id)) continue;
     const task_run& run = *task->run;
-    const bool never_told =
+    const bool never_announced =
         run.first_sequence == 0 && run.phase == run_phase::stopping;
     // A later order to start it may still be on its way.
     const uint64_t last = std::max(run.first_sequence, run.last_start);
-    const bool told = run.first_sequence != 0 && last <= sequence;
-    if (!told && !never_told) continue;
+    const bool announced = run.first_sequence != 0 && last <= sequence;
+    if (!announced && !never_announced) continue;
     if (run.phase == run_phase::starting) {
       task->not_before = clock_.now() + backoff(task->failures);
       ++task->failures;
--- a/routing/dispatcher.cc
+++ b/routing/dispatcher.cc
@@ -9,7 +9,7 @@
 constexpr int status_unavailable = 503;
 constexpr double gap_weight = 0.05;
 constexpr milliseconds no_runner_wait{1'000};
-constexpr milliseconds least_wait_told{50};
+constexpr milliseconds least_wait_announced{50};
 
 }  // namespace detail
 
@@ -29,7 +29,7 @@
 
 /// Spreads callers that were refused together over twice the wait.
 milliseconds dispatcher::jittered(milliseconds wait) {
-  const milliseconds least = std::max(wait, detail::least_wait_told);
+  const milliseconds least = std::max(wait, detail::least_wait_announced);
   const auto spread = static_cast<uint64_t>(least.count()) + 1;
   return least + milliseconds(static_cast<int64_t>(random_.below(spread)));
 }
--- a/routing/slot-lender.cc
+++ b/routing/slot-lender.cc
@@ -21,7 +21,7 @@
 
 void slot_lender::begin() {
   begun_ = clock_.now();
-  told_.clear();
+  reported_.clear();
   loans_.clear();
 }
 
@@ -48,7 +48,7 @@
 /// for the requests in flight that it names.
 void slot_lender::note_holdings(const box_id& from,
                                 const proto::runner_request& request) {
-  told_[from] = true;
+  reported_[from] = true;
   for (auto& [key, by_box] : loans_) {
     std::erase_if(by_box[from], [&](const loan& it) {
       return it.round < request.have_round();
@@ -95,8 +95,8 @@
   drop_old();
   note_holdings(from, request);
   const time_point now = clock_.now();
-  const bool all_told = told_.size() >= boxes_.size();
-  const bool settled = all_told || now >= begun_ + settings_.with_drift();
+  const bool all_reported = reported_.size() >= boxes_.size();
+  const bool settled = all_reported || now >= begun_ + settings_.with_drift();
   proto::runner_table table;
   table.set_round(request.round());
   table.set_valid_ms(static_cast<uint64_t>(settings_.valid.count()));
--- a/routing/slot-lender.h
+++ b/routing/slot-lender.h
@@ -45,8 +45,8 @@
   slot_lender(std::vector<box_id> boxes, loan_settings settings,
               clock_source& clock);
 
-  /// A new reign. Until each box has told what it holds, or all loans of the
-  /// last reign must be over, nothing more is lent than that.
+  /// A new reign. Until each box has reported what it holds, or all loans of
+  /// the last reign must be over, nothing more is lent than that.
   void begin();
   /// A box asks for its table. `serving` are the boxes that should have slots.
   proto::runner_table answer(const box_id& from,
@@ -73,7 +73,7 @@
   loan_settings settings_;
   clock_source& clock_;
   time_point begun_{};
-  std::map<box_id, bool> told_;
+  std::map<box_id, bool> reported_;
   std::map<loan_key, std::map<box_id, std::vector<loan>>> loans_;
 };
 
