Failing test: lasting tasks placed again and again at workers that call seldom

placed-in-vain plays 600, 6,000 and 12,000 workers none of which is idle, with a leader that takes no time and with one that is behind, while three of those with lasting tasks at a time are lost, leave or fail what they run. It bears 3 s from a task's first placing until it runs, two placings, 9 s away.

--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -1,10 +1,13 @@
 // What the world of a leader whose steps cost time is made of.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <ctime>
 #include <deque>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "fleet/slow-test-parts.h"
 
@@ -72,6 +75,12 @@
   int done = 0;
   milliseconds longest_away{0};
   milliseconds longest_order_lag{0};
+  // Of interrupted lasting tasks: from when the log first kept a start of the
+  // task until it ran, how many starts it took at most, and how many more than
+  // one in all.
+  milliseconds longest_placed{0};
+  int most_placings = 0;
+  int placed_in_vain = 0;
   // Of a living worker between two calls that the leader read.
   milliseconds longest_unread{0};
   // Starts of tasks that had ended well.
@@ -82,6 +91,55 @@
   uint64_t answers = 0;
 };
 
+/// How long lasting tasks that were interrupted wait, and orders of any.
+class task_waits {
+ public:
+  /// A lasting task's run is over.
+  void gone(const task_key& task, time_point now) {
+    away_.try_emplace(task, wait{now, {}, 0});
+  }
+  /// The log keeps the start of the run.
+  void kept(const run_key& run, time_point now) {
+    kept_at_[run] = now;
+    const auto it = away_.find(run.task);
+    if (it == away_.end()) return;
+    if (it->second.placings++ == 0) it->second.placed = now;
+  }
+  /// Its worker runs it.
+  void begun(const run_key& run, time_point now, outcome& out) {
+    const auto kept = kept_at_.find(run);
+    if (kept != kept_at_.end()) {
+      out.longest_order_lag =
+          std::max(out.longest_order_lag, now - kept->second);
+    }
+    const auto it = away_.find(run.task);
+    if (it == away_.end()) return;
+    tell(it->second, now, out);
+    out.placed_in_vain += std::max(0, it->second.placings - 1);
+    away_.erase(it);
+  }
+  /// Tells of those that still wait.
+  void close(time_point now, outcome& out) const {
+    for (const auto& [task, it] : away_) tell(it, now, out);
+  }
+
+ private:
+  struct wait {
+    time_point since;
+    time_point placed;
+    int placings = 0;
+  };
+  static void tell(const wait& it, time_point now, outcome& out) {
+    out.longest_away = std::max(out.longest_away, now - it.since);
+    out.most_placings = std::max(out.most_placings, it.placings);
+    if (it.placings == 0) return;
+    out.longest_placed = std::max(out.longest_placed, now - it.placed);
+  }
+
+  std::map<task_key, wait> away_;
+  std::map<run_key, time_point> kept_at_;
+};
+
 struct caller {
   machine it;
   int box = 0;
@@ -91,6 +149,47 @@
   uint64_t read = 0;
   time_point read_at{};
 };
+constexpr uint64_t first_short_job = 10'000;
+
+constexpr uint64_t endless_job = 9'999;
+
+inline bool is_endless(const task_key& task) {
+  return task.job.value() < first_short_job;
+}
+inline bool is_lasting(const task_key& task) {
+  return task.job.value() < endless_job;
+}
+
+/// The first `n` living workers that run lasting tasks.
+inline std::vector<caller*> serving(std::deque<caller>& all, int n) {
+  std::vector<caller*> out;
+  for (caller& c : all) {
+    if (out.size() == static_cast<size_t>(n)) break;
+    const bool serves =
+        std::any_of(c.it.runs.begin(), c.it.runs.end(),
+                    [](const auto& run) { return is_lasting(run.first.task); });
+    if (!c.lost && serves) out.push_back(&c);
+  }
+  return out;
+}
+
+/// How a worker's lasting tasks come to be interrupted.
+enum class interruption { lose, leave, fail };
+
+inline fleet::fleet_request make_leave(const machine& it) {
+  fleet::fleet_request request;
+  request.set_worker_leaves(it.name);
+  request.set_leaver_born(it.born_ms);
+  return request;
+}
+
+inline controller_settings make_settings() {
+  controller_settings settings = test_world::make_settings();
+  settings.leases.hold = longest_hold;
+  settings.direct_workers = 0;
+  return settings;
+}
+
 struct intake_box {
   intake_box(clock_source& clock, metrics_registry& metrics)
       : intake({}, clock, metrics) {}
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -1,6 +1,5 @@
 // A leader each of whose steps costs time on the virtual clock, as on a small
-// share of a core: reading, looking at workers, answering, taking in what the
-// log kept. Workers call intake boxes, which pass their calls on to it.
+// share of a core. Workers call intake boxes, which pass their calls on to it.
 #pragma once
 
 #include <algorithm>
@@ -35,7 +34,7 @@
     leader_.leads(true);
     fleet::fleet_request request;
     *request.mutable_put_config() = test_world::make_config(1, 99);
-    leader_.request(request, [](const fleet::fleet_response&) {});
+    ask(request);
   }
 
   bool may_decide() override { return true; }
@@ -50,6 +49,14 @@
     while (clock_.now() < end && out_.wrong.empty()) one_step();
   }
 
+  /// An endless task comes for each worker.
+  void keep_busy() {
+    const auto n = static_cast<uint32_t>(setting_.workers);
+    fleet::step_spec step = test_world::make_step(n);
+    step.set_anti_affinity(1);
+    submit(endless_job, step);
+  }
+
   /// Lasting tasks come, `n` jobs of `width`.
   void serve(int n, uint32_t width) {
     for (int i = 0; i < n; ++i) {
@@ -86,23 +93,21 @@
   void lose(int n) {
     for (int i = 0; i < n; ++i) callers_[static_cast<size_t>(i)].lost = true;
   }
+  /// So for the first `n` that run lasting tasks.
+  void interrupt_serving(int n, interruption how) {
+    for (caller* c : serving(callers_, n)) {
+      c->lost = how != interruption::fail;
+      if (how == interruption::leave) ask(make_leave(c->it));
+      if (how == interruption::fail) end_all(*c, fleet::run_failed);
+    }
+  }
 
   const outcome& out() {
-    const time_point now = clock_.now();
-    for (const auto& [task, since] : away_since_) note_away(now - since);
+    waits_.close(clock_.now(), out_);
     return out_;
   }
 
  private:
-  static constexpr uint64_t first_short_job = 10'000;
-
-  static controller_settings make_settings() {
-    controller_settings settings = test_world::make_settings();
-    settings.leases.hold = longest_hold;
-    settings.direct_workers = 0;
-    return settings;
-  }
-
   void one_step() {
     clock_.advance(step_time);
     come();
@@ -126,6 +131,10 @@
     }
   }
 
+  void ask(const fleet::fleet_request& request) {
+    leader_.request(request, [](const fleet::fleet_response&) {});
+  }
+
   void submit(uint64_t job, const fleet::step_spec& step) {
     submissions_.push_back(test_world::make_submit(job, {step}));
   }
@@ -164,9 +173,8 @@
     const costs& cost = setting_.cost;
     if (source == 0) {
       if (now - ticked_at_ < tick_interval) return 0;
-      const double all = charged([this] { leader_.tick(); });
       ticked_at_ = now;
-      return all;
+      return charged([this] { leader_.tick(); });
     }
     if (source == 1) {
       const bool due = now - settled_at_ >= leader_.settle_pause();
@@ -180,12 +188,8 @@
     }
     if (source == 3) {
       if (submissions_.empty()) return 0;
-      const double all = charged(
-          [this] {
-            leader_.request(submissions_.front(),
-                            [](const fleet::fleet_response&) {});
-          },
-          cost.entry - cost.turn);
+      const double all = charged([this] { ask(submissions_.front()); },
+                                 cost.entry - cost.turn);
       submissions_.pop_front();
       return all;
     }
@@ -245,8 +249,8 @@
     leader_.applied(command);
     for (const auto& it : command.batch().commands()) {
       for (const fleet::run_start& start : it.starts().starts()) {
-        kept_at_[{to_key(start.task()), run_number(start.run())}] =
-            clock_.now();
+        waits_.kept({to_key(start.task()), run_number(start.run())},
+                    clock_.now());
       }
     }
   }
@@ -272,12 +276,16 @@
   }
 
   void lapse(caller& c) {
-    const auto runs = c.it.runs;
-    for (const auto& [run, ends] : runs) end_run(c, run, fleet::run_lapsed);
-    out_.lapsed += static_cast<int>(runs.size());
+    out_.lapsed += static_cast<int>(c.it.runs.size());
+    end_all(c, fleet::run_lapsed);
     ends_.lapse(c.it.id);
   }
 
+  void end_all(caller& c, fleet::run_outcome outcome) {
+    const auto runs = c.it.runs;
+    for (const auto& [run, ends] : runs) end_run(c, run, outcome);
+  }
+
   void turn_elsewhere(caller& c) {
     c.it.out = 0;
     c.box = (c.box + 1) % setting_.intakes;
@@ -350,27 +358,13 @@
     if (done_.contains(run.task)) ++out_.started_again;
     if (it.runs.size() >= slow::worker_room) fail(it.id + " is over its room");
     const time_point now = clock_.now();
-    const auto kept = kept_at_.find(run);
-    if (kept != kept_at_.end()) {
-      out_.longest_order_lag =
-          std::max(out_.longest_order_lag, now - kept->second);
-    }
-    it.runs[run] = is_lasting(run.task) ? time_point::max() : now + short_work;
-    const auto away = away_since_.find(run.task);
-    if (away == away_since_.end()) return;
-    note_away(now - away->second);
-    away_since_.erase(away);
+    waits_.begun(run, now, out_);
+    it.runs[run] = is_endless(run.task) ? time_point::max() : now + short_work;
   }
 
-  static bool is_lasting(const task_key& task) {
-    return task.job.value() < first_short_job;
-  }
   void note_gone(const task_key& task) {
     running_.erase(task);
-    if (is_lasting(task)) away_since_.try_emplace(task, clock_.now());
-  }
-  void note_away(milliseconds away) {
-    out_.longest_away = std::max(out_.longest_away, away);
+    if (is_lasting(task)) waits_.gone(task, clock_.now());
   }
   void fail(const std::string& what) {
     if (out_.wrong.empty() && !what.empty()) {
@@ -387,10 +381,9 @@
   std::deque<entry> entries_;
   std::deque<fleet::fleet_request> submissions_;
   std::vector<reply> replies_;
-  std::map<run_key, time_point> kept_at_;
+  task_waits waits_;
   std::set<task_key> running_;
   std::set<task_key> done_;
-  std::map<task_key, time_point> away_since_;
   end_ledger ends_;
   outcome out_;
   double spare_us_ = 0;
--- /dev/null
+++ b/fleet/placed-in-vain-test.cc
@@ -0,0 +1,88 @@
+// A start was taken back before its worker's next call, again and again.
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "fleet/fleet-cost-test-parts.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+struct row {
+  const char* name;
+  int workers;
+  // Whether a step of the leader costs `cost`; else it takes no time.
+  bool costs = false;
+  busy::costs cost = {};
+};
+
+constexpr int lasting_jobs = 20;
+constexpr uint32_t lasting_width = 10;
+constexpr int gone = 3;
+constexpr int rounds = 10;
+/// An order gets to its worker this long after its task was first placed.
+constexpr milliseconds most_placed{3'000};
+/// Once where it runs; once more where its worker was lost, too.
+constexpr int most_placings = 2;
+
+busy::outcome play(const row& it) {
+  busy::setting set = busy::make_fleet(it.workers);
+  set.jobs_per_s = 0;
+  if (it.costs) {
+    set.processor_share = 0;
+    set.cost = it.cost;
+  }
+  busy::busy_world world(set);
+  world.pass(milliseconds(6'000));
+  // None of them is idle: calls of idle ones are held.
+  world.keep_busy();
+  world.pass(milliseconds(4'000));
+  world.serve(lasting_jobs, lasting_width);
+  world.pass(milliseconds(4'000));
+  for (int i = 0; i < rounds; ++i) {
+    world.interrupt_serving(gone, busy::interruption::lose);
+    world.interrupt_serving(gone, busy::interruption::fail);
+    world.pass(milliseconds(300));
+    world.interrupt_serving(gone, busy::interruption::leave);
+    world.pass(milliseconds(300));
+  }
+  world.pass(milliseconds(9'500));
+  return world.out();
+}
+
+std::string to_text(const row& it, const busy::outcome& out) {
+  return std::string(it.name) + ", " + std::to_string(it.workers) +
+         ": away for " + std::to_string(out.longest_away.count()) +
+         " ms, placed for " + std::to_string(out.longest_placed.count()) +
+         ", placings " + std::to_string(out.most_placings) + ", in vain " +
+         std::to_string(out.placed_in_vain) + ", lapsed " +
+         std::to_string(out.lapsed);
+}
+
+}  // namespace
+
+TEST_GROUP(placed_in_vain){};
+
+TEST(placed_in_vain, interrupted_task_waits_for_one_order) {
+  const row rows[] = {
+      {"quiet", 600},
+      {"quiet", 6'000},
+      {"quiet", 12'000},
+      {"behind", 600, true, {.answer = 1'600}},
+      {"behind", 6'000, true, {.answer = 250}},
+      {"behind", 12'000, true, {.read = 15, .answer = 150}},
+  };
+  std::string wrong;
+  for (const row& it : rows) {
+    const busy::outcome out = play(it);
+    const std::string text = to_text(it, out);
+    STRCMP_EQUAL_TEXT("", out.wrong.c_str(), it.name);
+    LONGS_EQUAL_TEXT(0, out.lapsed, text.c_str());
+    const bool holds = out.longest_placed <= most_placed &&
+                       out.longest_away <= busy::most_away &&
+                       out.most_placings <= most_placings;
+    if (!holds) wrong += text + "\n";
+  }
+  CHECK_TRUE_TEXT(wrong.empty(), wrong.c_str());
+}
--- a/fleet/slow-test-parts.h
+++ b/fleet/slow-test-parts.h
@@ -246,7 +246,9 @@
   /// The task starts once more; what is wrong with that.
   std::string start(const task_key& task) {
     std::string wrong;
-    for (good_end& end : ends_[task]) {
+    const auto found = ends_.find(task);
+    if (found == ends_.end()) return wrong;
+    for (good_end& end : found->second) {
       if (end.noted && !end.lapsed) wrong = to_text(task) + " was done";
       if (end.owed && !end.lapsed) wrong = to_text(task) + " had ended well";
       end.started_after = true;
