A start waits for its worker's next call; interrupted tasks go where one comes soon

Cause: the pause that a worker is told grows with the fleet, the patience for what it was ordered did not.

Now the leader keeps when each worker is to call next, where it tells the pause, and a start that waits for that call is taken back once the call is overdue by 0.8 s. What waits for an answer that is owed already, or is placed by a leader that is behind (which does so only where a call waits), is taken back after 0.8 s as before. So a step with interrupted lasting tasks prefers workers whose call waits or is due within 0.3 s.

"May have crashed, too" goes by the same time, so that a held call's half second counts.

--- a/fleet/controller-crashes.cc
+++ b/fleet/controller-crashes.cc
@@ -44,7 +44,7 @@
   return std::any_of(views.begin(), views.end(), [&](const auto& entry) {
     const worker_view& o = entry.second;
     return o.id != it.id && o.known && near(o.told) &&
-           now - o.told >= detail::maybe_crashed + o.pause;
+           now - std::max(o.told, o.call_due) >= detail::maybe_crashed;
   });
 }
 
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -36,10 +36,6 @@
 /// A run ordered so long ago, and not there, never will be: covers the time
 /// after which a worker drops an answer, and the way of its next heartbeat.
 constexpr milliseconds order_margin{500};
-/// A start that was sent in no answer for so long is taken back: a worker that
-/// calls is answered within a second, and what waits for one that does not
-/// holds room elsewhere than where it could run.
-constexpr milliseconds most_unsent{800};
 /// Such runs are looked for with a pause of so much for each worker: a look at
 /// a worker's runs takes 2 us.
 constexpr std::chrono::microseconds unstarted_pause{400};
@@ -278,8 +274,10 @@
   if (!over.empty()) propose_loss(it, over, loss_cause::lease);
 }
 
-/// How far orders may lag behind the book. A start that nobody was told of
-/// can't begin, and while it is being taken back nobody is.
+/// How far orders may lag behind the book: until the worker's next call is
+/// overdue. What waits for one that does not call holds room elsewhere than
+/// where it could run. A start that nobody was told of can't begin, and while
+/// it is being taken back nobody is.
 void fleet_controller::review_unsent() {
   const time_point now = clock_.now();
   workers_.marks().unsent.review([&](worker_view& it) {
@@ -289,8 +287,8 @@
     std::erase_if(it.unsent,
                   [&runs](const auto& p) { return !runs.contains(p.first); });
     std::vector<run_key> over;
-    for (const auto& [run, since] : it.unsent) {
-      if (now - since >= detail::most_unsent) over.push_back(run);
+    for (const auto& [run, ends] : it.unsent) {
+      if (now >= ends) over.push_back(run);
     }
     if (over.empty()) return !it.unsent.empty();
     for (const run_key& run : over) it.unsent.erase(run);
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -312,7 +312,7 @@
     // What was counted as proposed counts on, unless the book left it out.
     const bool counted = view->proposed.erase(run) > 0;
     if (counted && leads_) {
-      view->unsent[run] = clock_.now();
+      view->unsent[run] = order_ends_at(*view);
       workers_.marks().unsent.add(*view);
       workers_.marks().held_calls.remove(*view);
       workers_.marks().calling.add(*view);
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -194,6 +194,7 @@
   bool answer_is_due(const worker_view& it) const;
   void answer(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
+  time_point order_ends_at(const worker_view& it) const;
   milliseconds interval_for(uint64_t calls_per_s) const;
   bool holds_calls() const;
   bool is_idle(const worker_view& it) const;
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -22,6 +22,11 @@
 /// of a data centre that is taken back are all empty and would draw every task
 /// that waits. Above all but a task's data, which costs it as much.
 constexpr double cold_cost = 300'000;
+/// A task that was interrupted has spent most of what the users bear on its
+/// lease: above a place among others of its image.
+constexpr double late_call_cost = 200'000;
+/// Calls that come within this are as good as one that waits.
+constexpr milliseconds soon{300};
 
 }  // namespace detail
 
@@ -215,8 +220,13 @@
                                                          bool starved) {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(first.step));
   const fleet::queue_route& queue = book_.queue_of(job);
-  return {spec,    queue.pool(),    first, model_.id_of(spec.image()),
-          starved, queue.priority()};
+  return {spec,
+          queue.pool(),
+          first,
+          model_.id_of(spec.image()),
+          starved,
+          queue.priority(),
+          spec.long_running() && has_interrupted(first)};
 }
 
 void fleet_scheduler::plan_job(const waiting_job& job,
@@ -318,6 +328,7 @@
     score -= detail::spared_cost;
   }
   if (is_cold(it)) score -= detail::cold_cost;
+  if (step.urgent && !calls_soon(it)) score -= detail::late_call_cost;
   if (spec.target_ms() > 0) {
     score += detail::image_bonus * alike(it, step.image);
   }
@@ -331,6 +342,14 @@
   return clock_.now() - it.told < left;
 }
 
+/// True where an order would go out at once, or nearly so. One whose call is
+/// late may be lost.
+bool fleet_scheduler::calls_soon(const worker_view& it) const {
+  if (it.respond) return is_open(it);
+  const milliseconds left = it.call_due - clock_.now();
+  return -detail::soon <= left && left <= detail::soon;
+}
+
 /// How well a task would stand on a worker; none where it must not run.
 std::optional<double> fleet_scheduler::value_of(const step_to_place& step,
                                                 const worker_view& it) const {
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -82,6 +82,8 @@
     image_id image;
     bool starved;
     uint32_t priority;
+    // Lasting tasks of it were interrupted.
+    bool urgent;
   };
   struct serving_task {
     run_key run;
@@ -223,6 +225,7 @@
   bool is_usable(const worker_view& it) const;
   bool is_evacuated(const worker_view& it) const;
   bool is_cold(const worker_view& it) const;
+  bool calls_soon(const worker_view& it) const;
   step_to_place place_of(const job_entry& job, const task_key& first,
                          bool starved);
   void plan_job(const waiting_job& job, std::vector<worker_view*>& all,
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -52,6 +52,10 @@
 /// a cut held up arrive together.
 constexpr milliseconds sure_life{800};
 
+/// A call comes so much later than its worker was told to, at most: the way of
+/// the answer before, its own, and once that a box puts it off.
+constexpr milliseconds longest_call_way{800};
+
 /// All of a task's work, in percent.
 constexpr unsigned full_pace = 100;
 
@@ -102,7 +106,7 @@
   std::map<run_key, fleet::running_row> rows;
   /// When a start was last sent.
   std::map<run_key, time_point> sent;
-  /// Since when the log has starts that were sent in no answer yet.
+  /// Until when starts that the log has, sent in no answer yet, wait for one.
   std::map<run_key, time_point> unsent;
   /// Runs that were given up on since its last heartbeat, as their lease was
   /// over: it may still show that it crashed.
@@ -163,12 +167,15 @@
   bool was_held = false;
   /// Its last answer ordered starts; until a heartbeat lists them all.
   bool awaits_start = false;
-  /// When to call again, as its last answer told.
-  milliseconds pause{0};
+  /// When it is to call next, by its last answer; 0 before the first one.
+  time_point call_due{};
   /// Least difference of its clock to ours so far: how long ago a heartbeat
   /// was sent is told by how much this one differs.
   int64_t clock_offset = INT64_MAX;
   time_point offset_at{};
+
+  /// When its next call has surely come if it lives.
+  time_point overdue_at() const { return call_due + longest_call_way; }
 };
 
 /// The workers by id.
@@ -233,9 +240,11 @@
   std::map<worker_id, worker_view>& views() { return views_; }
   const std::map<worker_id, worker_view>& views() const { return views_; }
   const lease_settings& leases() const { return leases_; }
-  /// The worker's answer was sent: what it runs may go on for that long.
-  void granted(worker_view& it) {
+  /// The worker's answer was sent: what it runs may go on for that long, and
+  /// after the pause it is to call again.
+  void granted(worker_view& it, milliseconds pause) {
     it.over_at = it.heard + leases_.over_after();
+    it.call_due = clock_.now() + pause;
   }
 
  private:
