A worker counts as silent only once its next call is overdue

At 12,000 workers an idle one calls every 2.8 to 3.0 s and its ways (0.5 to 0.7 s held, a third of the lease until the next call), and after 3 s got no new work though it was on time. The limit was fixed, the pause grows with the fleet.

held-call.worker_was_silent_before_its_next_call_was_due fails without the change (no run at a worker that is on its way, 1 wanted) and passes with it. The limit stays 3 s where calls come more often.

--- a/fleet/held-call-test.cc
+++ b/fleet/held-call-test.cc
@@ -69,6 +69,32 @@
   LONGS_EQUAL(700, orders.next_beat_ms());
 }
 
+TEST(held_call, worker_was_silent_before_its_next_call_was_due) {
+  controller_settings settings = seldom();
+  settings.leases.hold = longest_hold;
+  settings.idle_beats_per_s = 2;
+  test_world slow(settings);
+  slow.configure(1, 99);
+  const auto call = [&] {
+    fleet::worker_beat& it = slow.workers["w"];
+    it.set_sequence(it.sequence() + 1);
+    it.set_clock_ms(static_cast<uint64_t>(slow.clock.now().count()));
+    fleet::beat_batch batch;
+    *batch.add_beats() = it;
+    slow.controller.take_beats(batch, [](const fleet::beat_answer&) {});
+    slow.commit();
+  };
+  for (int i = 0; i < 6; ++i) slow.beat("w" + std::to_string(i));
+  slow.beat("w");
+  slow.pass(milliseconds(400));
+  call();
+  // Its call is answered after 0.5 s, and the next one due 2.3 s later: it is
+  // on its way. The others are silent.
+  slow.pass(milliseconds(3'100));
+  slow.submit(1, {test_world::make_step(1)});
+  LONGS_EQUAL(1, slow.controller.book().runs_on(worker_id("w")).size());
+}
+
 TEST(held_call, only_calls_that_tell_nothing_are_held) {
   world.workers["w0"].set_draining(true);
   world.workers["w0"].set_remaining_ms(10'000);
--- a/fleet/scheduler-settings.h
+++ b/fleet/scheduler-settings.h
@@ -69,7 +69,7 @@
   /// answers to workers don't wait for it; the less urgent steps have their
   /// turn in the next one. Fewer, too, while the leader is behind.
   uint64_t most_plan_looks = 150'000;
-  /// A worker silent for longer gets no new work; two heartbeat intervals.
+  /// A worker silent for longer gets no new work, once its call is overdue.
   milliseconds silent_limit{3'000};
   /// Failed ends in a row, of at least two jobs, after which a worker is
   /// avoided.
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -63,7 +63,8 @@
   if (is_evacuated(it)) return "evacuated";
   if (it.avoided_until > now) return "avoided";
   if (it.heard <= it.taken_back_at) return "taken-back";
-  if (now - it.heard >= settings_.silent_limit) return "silent";
+  const time_point silent_at = it.heard + settings_.silent_limit;
+  if (now >= std::max(silent_at, it.overdue_at())) return "silent";
   return nullptr;
 }
 
