--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -298,6 +298,7 @@
     start.set_saved(task.saved);
     it.sent[run] = clock_.now();
     it.unsent.erase(run);
+    in_vain_.erase(run.task);
     it.awaits_start = true;
   }
 }
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -293,16 +293,38 @@
     if (over.empty()) return !it.unsent.empty();
     for (const run_key& run : over) it.unsent.erase(run);
     it.taken_back_at = now;
+    note_taken_back(it, over);
     propose_loss(it, over, loss_cause::unsent);
     return !it.unsent.empty();
   });
 }
 
+/// A task that waits though it is placed again and again has no room that it
+/// lacks: only this tells why.
+void fleet_controller::note_taken_back(const worker_view& it,
+                                       const std::vector<run_key>& runs) {
+  metrics_.counter("kestrelreel_starts_taken_back_total") += runs.size();
+  for (const run_key& run : runs) {
+    const unsigned times = ++in_vain_[run.task];
+    log_event(detail::service_name, log_level::info, "placed-in-vain")
+        .with("task", to_text(run.task))
+        .with("run", run.run.value())
+        .with("worker", it.id.str())
+        .with("times", times)
+        .with("lasting", is_lasting(run) ? "yes" : "no")
+        .with("call-overdue-ms", (clock_.now() - it.call_due).count());
+  }
+}
+
 void fleet_controller::review_all_unstarted() {
   const time_point now = clock_.now();
   const auto pause = detail::unstarted_pause * workers_.views().size();
   if (now - unstarted_reviewed_at_ < pause) return;
   unstarted_reviewed_at_ = now;
+  std::erase_if(in_vain_, [this](const auto& p) {
+    return book_.find(p.first.job) == nullptr ||
+           !book_.find(p.first.job)->live();
+  });
   for (auto& [id, it] : workers_.views()) review_unstarted(it);
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -268,6 +268,7 @@
   void review_all_unstarted();
   void review_unstarted(worker_view& it);
   void review_unsent();
+  void note_taken_back(const worker_view& it, const std::vector<run_key>& runs);
 
   controller_settings settings_;
   clock_source& clock_;
@@ -307,6 +308,8 @@
   // Silence and leaves were reviewed since it last began to read on.
   bool reviewed_ = true;
   leader_lag lag_;
+  // How often tasks were placed since a start of theirs was last sent.
+  std::map<task_key, unsigned> in_vain_;
   // The last turn left workers to the next one.
   bool answers_left_ = false;
   time_point searched_at_{};
--- a/fleet/lagging-leader-test.cc
+++ b/fleet/lagging-leader-test.cc
@@ -74,6 +74,17 @@
   LONGS_EQUAL(2, it.run.value());
 }
 
+TEST(lagging_leader, starts_that_were_taken_back_were_told_by_no_figure) {
+  add_workers(1);
+  world.submit(7, {test_world::make_step(3)});
+  uint64_t& taken_back =
+      world.metrics.counter("kestrelreel_starts_taken_back_total");
+  world.pass(milliseconds(900));
+  LONGS_EQUAL(0, taken_back);
+  world.pass(milliseconds(200));
+  LONGS_EQUAL(3, taken_back);
+}
+
 TEST(lagging_leader, steps_without_room_cost_a_bounded_part_of_it) {
   controller_settings settings = test_world::make_settings();
   settings.scheduling.retry_looks_per_s = 50'000;
