--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -36,10 +36,6 @@
 /// A run ordered so long ago, and not there, never will be: covers the time
 /// after which a worker drops an answer, and the way of its next heartbeat.
 constexpr milliseconds order_margin{500};
-/// A start that was sent in no answer for so long is taken back: a worker that
-/// calls is answered within a second, and what waits for one that does not
-/// holds room elsewhere than where it could run.
-constexpr milliseconds most_unsent{800};
 /// Such runs are looked for with a pause of so much for each worker: a look at
 /// a worker's runs takes 2 us.
 constexpr std::chrono::microseconds unstarted_pause{400};
@@ -278,8 +274,10 @@
   if (!over.empty()) propose_loss(it, over, loss_cause::lease);
 }
 
-/// How far orders may lag behind the book. A start that nobody was told of
-/// can't begin, and while it is being taken back nobody is.
+/// How far orders may lag behind the book: until the worker's next call is
+/// overdue. What waits for one that does not call holds room elsewhere than
+/// where it could run. A start that nobody was told of can't begin, and while
+/// it is being taken back nobody is.
 void fleet_controller::review_unsent() {
   const time_point now = clock_.now();
   workers_.marks().unsent.review([&](worker_view& it) {
@@ -289,22 +287,44 @@
     std::erase_if(it.unsent,
                   [&runs](const auto& p) { return !runs.contains(p.first); });
     std::vector<run_key> over;
-    for (const auto& [run, since] : it.unsent) {
-      if (now - since >= detail::most_unsent) over.push_back(run);
+    for (const auto& [run, ends] : it.unsent) {
+      if (now >= ends) over.push_back(run);
     }
     if (over.empty()) return !it.unsent.empty();
     for (const run_key& run : over) it.unsent.erase(run);
     it.taken_back_at = now;
+    note_taken_back(it, over);
     propose_loss(it, over, loss_cause::unsent);
     return !it.unsent.empty();
   });
 }
 
+/// A task that waits though it is placed again and again has no room that it
+/// lacks: only this tells why.
+void fleet_controller::note_taken_back(const worker_view& it,
+                                       const std::vector<run_key>& runs) {
+  metrics_.counter("kestrelreel_starts_taken_back_total") += runs.size();
+  for (const run_key& run : runs) {
+    const unsigned times = ++in_vain_[run.task];
+    log_event(detail::service_name, log_level::info, "placed-in-vain")
+        .with("task", to_text(run.task))
+        .with("run", run.run.value())
+        .with("worker", it.id.str())
+        .with("times", times)
+        .with("lasting", is_lasting(run) ? "yes" : "no")
+        .with("call-overdue-ms", (clock_.now() - it.call_due).count());
+  }
+}
+
 void fleet_controller::review_all_unstarted() {
   const time_point now = clock_.now();
   const auto pause = detail::unstarted_pause * workers_.views().size();
   if (now - unstarted_reviewed_at_ < pause) return;
   unstarted_reviewed_at_ = now;
+  std::erase_if(in_vain_, [this](const auto& p) {
+    return book_.find(p.first.job) == nullptr ||
+           !book_.find(p.first.job)->live();
+  });
   for (auto& [id, it] : workers_.views()) review_unstarted(it);
 }
 
