A box without a replica tries each source in turn, not two by turns

In a listed cluster a box whose two nearest replicas are alive and don't answer is never fed: it asks these two by turns, and a third one that would answer is not asked.

Cause: the next source was the first live box other than the last one, so that after the second one the first one came again.

Now those that were given up are remembered for a round; each live box is tried once, the nearest first, before any is tried again. A source that served for 10 s ends the round, so that the nearest one is tried first after it.

--- /dev/null
+++ b/record/feed-choice-test.cc
@@ -0,0 +1,97 @@
+// Which boxes a box without a replica asks when those it asked don't answer.
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/text.h"
+#include "record/feed.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+struct virtual_clock final : clock_source {
+  time_point now() const override { return at; }
+  time_point at{1'000};
+};
+
+struct scenario {
+  const char* name;
+  int near_replicas;
+  int far_replicas;
+  int near_boxes;
+};
+
+std::vector<box_entry> entries_of(const scenario& it) {
+  std::vector<box_entry> all{{box_id("self"), data_centre_id("d"), "", false}};
+  const auto add = [&](const char* kind, int n, const char* place,
+                       bool replica) {
+    for (int i = 0; i < n; ++i) {
+      all.push_back(
+          {box_id(str_cat(kind, i)), data_centre_id(place), "", replica});
+    }
+  };
+  add("near", it.near_replicas, "d", true);
+  add("far", it.far_replicas, "e", true);
+  add("box", it.near_boxes, "d", false);
+  return all;
+}
+
+/// The boxes that are asked for so long while all live and none answers.
+std::vector<box_id> asked_in(const scenario& it, milliseconds length) {
+  virtual_clock clock;
+  const std::vector<box_entry> entries = entries_of(it);
+  box_table table(box_id("self"), entries, clock);
+  std::vector<box_id> asked;
+  feed_sink sink(table, clock, [&](const box_id& to, const auto&) {
+    if (asked.empty() || asked.back() != to) asked.push_back(to);
+  });
+  for (milliseconds t{0}; t < length; t += milliseconds(100)) {
+    clock.at += milliseconds(100);
+    for (const box_entry& from : entries) {
+      table.heard(from.id, 1, proto::box_digest());
+    }
+    sink.tick(0);
+  }
+  return asked;
+}
+
+}  // namespace
+
+TEST_GROUP(feed_choice){};
+
+// Two silent boxes were asked by turns, and a third one never.
+TEST(feed_choice, each_box_has_its_turn) {
+  const scenario rows[] = {
+      {"one", 1, 0, 0},
+      {"two near", 2, 0, 0},
+      {"three near", 3, 0, 0},
+      {"three far", 0, 3, 0},
+      {"one near, two far", 1, 2, 0},
+      {"one of each", 1, 1, 1},
+      {"boxes alone", 0, 0, 4},
+      {"more than a long service takes", 3, 9, 3},
+  };
+  for (const scenario& it : rows) {
+    const size_t n = it.near_replicas + it.far_replicas + it.near_boxes;
+    // Each is given up after 1.5 s, at the next ask that is due.
+    const auto asked = asked_in(it, milliseconds(2'100 * n));
+    const std::set<box_id> distinct(asked.begin(), asked.end());
+    CHECK_TEXT(
+        distinct.size() == n,
+        str_cat(it.name, ": asked ", distinct.size(), " of ", n).c_str());
+    // A round is over before any is asked again.
+    const std::set<box_id> round(asked.begin(), asked.begin() + n);
+    CHECK_TEXT(round.size() == n, it.name);
+  }
+}
+
+TEST(feed_choice, the_nearest_comes_first) {
+  const auto asked = asked_in({"", 1, 1, 1}, milliseconds(6'300));
+  CHECK_TRUE(asked.size() >= 3);
+  STRCMP_EQUAL("near0", asked[0].str().c_str());
+  STRCMP_EQUAL("far0", asked[1].str().c_str());
+  STRCMP_EQUAL("box0", asked[2].str().c_str());
+}
--- a/record/feed.cc
+++ b/record/feed.cc
@@ -1,7 +1,7 @@
 #include "record/feed.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace kestrelreel {
 namespace detail {
@@ -9,6 +9,8 @@
 constexpr milliseconds ask_interval{500};
 constexpr milliseconds subscription{3'000};
 constexpr milliseconds source_patience{1'500};
+/// A source that served so long ends the round in which each has its turn.
+constexpr milliseconds good_service{10'000};
 constexpr size_t recent_limit = 4 << 20;
 constexpr size_t message_limit = 512 << 10;
 
@@ -92,8 +94,7 @@
   const bool silent = now - answered_ > detail::source_patience;
   const bool lags = source_lags(applied);
   if (source_.empty() || !boxes_.live(source_) || silent || lags) {
-    source_ = choose();
-    answered_ = now;
+    change_source(now);
     behind_since_.reset();
   }
   if (source_.empty()) return;
@@ -124,28 +125,41 @@
   if (from == source_) answered_ = clock_.now();
 }
 
-/// The nearest live box: a replica here, a replica elsewhere, then any box
-/// here that is ahead. Among equals the next after the one that fell silent.
-box_id feed_sink::choose() const {
+void feed_sink::change_source(time_point now) {
+  if (now - chosen_ > detail::good_service) tried_.clear();
+  if (!source_.empty()) tried_.insert(source_);
+  const std::vector<box_id> all = candidates();
+  const auto untried = [&](const box_id& it) { return !tried_.contains(it); };
+  auto next = std::ranges::find_if(all, untried);
+  if (next == all.end()) {
+    tried_.clear();
+    const bool others = all.size() > 1;
+    if (others && !source_.empty()) tried_.insert(source_);
+    next = std::ranges::find_if(all, untried);
+  }
+  source_ = next == all.end() ? box_id() : *next;
+  chosen_ = answered_ = now;
+}
+
+/// Live boxes, the nearest first: replicas here, replicas elsewhere, then the
+/// other boxes here.
+std::vector<box_id> feed_sink::candidates() const {
   const data_centre_id& here = boxes_.own_data_centre();
-  std::vector<box_id> near_replicas;
+  std::vector<box_id> all;
   std::vector<box_id> far_replicas;
   std::vector<box_id> near_boxes;
   for (const box_entry& it : boxes_.boxes()) {
     if (it.id == boxes_.self() || !boxes_.live(it.id)) continue;
     const bool near = it.data_centre == here;
     if (it.replica) {
-      (near ? near_replicas : far_replicas).push_back(it.id);
+      (near ? all : far_replicas).push_back(it.id);
     } else if (near) {
       near_boxes.push_back(it.id);
     }
   }
-  for (const auto* group : {&near_replicas, &far_replicas, &near_boxes}) {
-    for (const box_id& it : *group) {
-      if (it != source_) return it;
-    }
-  }
-  return boxes_.live(source_) ? source_ : box_id();
+  all.insert(all.end(), far_replicas.begin(), far_replicas.end());
+  all.insert(all.end(), near_boxes.begin(), near_boxes.end());
+  return all;
 }
 
 }  // namespace kestrelreel
--- a/record/feed.h
+++ b/record/feed.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -65,13 +67,17 @@
   void answered(const box_id& from);
 
  private:
-  box_id choose() const;
+  void change_source(time_point now);
+  std::vector<box_id> candidates() const;
   bool source_lags(uint64_t applied);
 
   const box_table& boxes_;
   clock_source& clock_;
   send_function send_;
   box_id source_;
+  time_point chosen_{};
+  /// Given up in this round; each other one comes before them.
+  std::set<box_id> tried_;
   std::optional<time_point> asked_;
   time_point answered_{};
   std::optional<time_point> behind_since_;
