A source sends a box what it lacks once, a bounded part at a time

In a listed cluster a box that takes entries slowly fills the link of its source with copies of the same entries, and what else shares that link waits.

Cause: each ask, one in 500 ms, set back what counts as sent to what the box holds, however much was on its way. So the whole state, or up to 512 KiB of entries, went again with each ask, and new entries without any bound at each tick.

Now a source remembers what is on its way to each box, at most 256 KiB of entries, and sends it again only when the box tells less than it held, or has not moved on for a time that goes with the bytes and doubles. It remembers this also for a box whose asks come late. From half of the window on it tells the box to ask at once, so that more can go as soon as something arrived; a box of an earlier version does not, and gets 256 KiB for each of its asks.

A state still goes in one message.

--- a/daemon/record-service.cc
+++ b/daemon/record-service.cc
@@ -230,7 +230,6 @@
 void record_service::on_fed(const box_id& from,
                             const proto::feed_reply& reply) {
   if (!sink_) return;
-  sink_->answered(from);
   fed_leader_ = reply.leader();
   if (reply.has_snapshot() && reply.snapshot().index() > state_.applied()) {
     install(reply.snapshot());
@@ -238,6 +237,7 @@
   for (const proto::log_entry& it : reply.entries()) {
     if (it.index() == state_.applied() + 1) apply(it);
   }
+  sink_->answered(from, reply, state_.applied());
 }
 
 void record_service::tick() {
--- a/record/feed-test.cc
+++ b/record/feed-test.cc
@@ -97,12 +97,12 @@
     if (&to == &r && !r_up) return;
     if (it.m.has_feed()) to.source->on_request(it.from, it.m.feed(), "r");
     if (!it.m.has_fed()) return;
-    to.sink->answered(it.from);
     if (it.m.fed().has_snapshot()) {
       to.state.install(it.m.fed().snapshot());
       to.source->installed();
     }
     for (const auto& entry : it.m.fed().entries()) to.apply(entry);
+    to.sink->answered(it.from, it.m.fed(), to.state.applied());
   }
 };
 
--- /dev/null
+++ b/record/feed-window-test.cc
@@ -0,0 +1,200 @@
+// What a source sends to a subscriber behind a slow link, whatever it asks.
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <utility>
+
+#include "base/text.h"
+#include "record/feed.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+struct virtual_clock final : clock_source {
+  time_point now() const override { return at; }
+  time_point at{1'000};
+};
+
+constexpr size_t kilobyte = 1'000;
+constexpr int tick_ms = 100;
+/// What may be sent on top of what is owed.
+constexpr size_t window = 600 * kilobyte;
+/// What waits for a subscriber that does not get on, entries or snapshot parts.
+constexpr size_t most_waiting = 300 * kilobyte;
+
+struct scenario {
+  const char* name;
+  // What the link carries; 0: nothing arrives.
+  int bytes_per_ms;
+  int seconds;
+  // What the subscriber lacks, in entries, or with `snapshot` in the state.
+  size_t entries;
+  size_t entry_bytes;
+  bool snapshot;
+  int ask_ms = 500;
+  // How long asks are held up, to arrive all at once.
+  int asks_held_ms = 0;
+  // Of 100 messages.
+  unsigned lost = 0;
+  // It tells what it holds when asked to; one of an earlier version does not.
+  bool answers = true;
+};
+
+struct on_way {
+  int due;
+  proto::peer_message m;
+};
+
+/// A source, and a subscriber that asks it alone.
+class slow_feed {
+ public:
+  explicit slow_feed(const scenario& it) : scenario_(it) {
+    for (size_t i = 0; i < it.entries; ++i) commit();
+    if (it.snapshot) source_.installed();
+  }
+
+  void pass(int ms) {
+    for (const int end = now_ + ms; now_ < end;) step();
+  }
+
+  size_t owed() const { return scenario_.entries * scenario_.entry_bytes; }
+  size_t sent() const { return sent_; }
+  bool caught_up() const { return fed_.applied() == state_.applied(); }
+
+ private:
+  void commit() {
+    proto::command command;
+    proto::state_change& it = *command.mutable_change();
+    it.set_request_id(str_cat("c", state_.version()));
+    it.set_replaces(state_.version());
+    it.set_version(state_.version() + 1);
+    it.set_digest(state_.version() + 1);
+    it.set_author(std::string(scenario_.entry_bytes, 'a'));
+    proto::log_entry entry;
+    entry.set_index(state_.applied() + 1);
+    entry.set_kind(proto::entry_command);
+    entry.set_payload(command.SerializeAsString());
+    state_.apply(entry);
+    source_.applied(entry);
+  }
+
+  void step() {
+    ++now_;
+    clock_.at += milliseconds(1);
+    if (now_ % scenario_.ask_ms == 0) ask();
+    if (now_ % tick_ms == 0) source_.flush();
+    const int held = scenario_.asks_held_ms;
+    if (held == 0 || now_ % held == 0) {
+      for (const auto& it : std::exchange(asks_, {})) {
+        source_.on_request(box_id("fed"), it, "leader");
+      }
+    }
+    while (!link_.empty() && link_.front().due <= now_) {
+      const proto::peer_message m = std::move(link_.front().m);
+      link_.pop_front();
+      if (random_.below(100) >= scenario_.lost) take(m.fed());
+    }
+  }
+
+  void ask() {
+    proto::feed_request it;
+    it.set_applied(fed_.applied());
+    asks_.push_back(it);
+  }
+
+  void take(const proto::feed_reply& reply) {
+    if (reply.has_snapshot()) fed_.install(reply.snapshot());
+    for (const auto& it : reply.entries()) fed_.apply(it);
+    if (scenario_.answers && reply.acknowledge()) ask();
+  }
+
+  void put_on_link(proto::peer_message m) {
+    const size_t n = m.ByteSizeLong();
+    sent_ += n;
+    if (scenario_.bytes_per_ms == 0) return;
+    link_free_at_ = std::max(link_free_at_, static_cast<double>(now_)) +
+                    static_cast<double>(n) / scenario_.bytes_per_ms;
+    link_.push_back({static_cast<int>(link_free_at_) + 1, std::move(m)});
+  }
+
+  scenario scenario_;
+  virtual_clock clock_;
+  seeded_random random_{1};
+  record_state state_;
+  record_state fed_;
+  feed_source source_{state_, clock_, [this](const box_id&, auto m) {
+                        put_on_link(std::move(m));
+                      }};
+  std::deque<on_way> link_;
+  std::deque<proto::feed_request> asks_;
+  int now_ = 0;
+  double link_free_at_ = 0;
+  size_t sent_ = 0;
+};
+
+void check_within(size_t most, size_t found, const scenario& it) {
+  CHECK_TEXT(found <= most,
+             str_cat(it.name, ": sent ", found, " of ", most).c_str());
+}
+
+}  // namespace
+
+TEST_GROUP(feed_window){};
+
+// Each ask sent all that was owed again, however much was on its way.
+TEST(feed_window, a_slow_subscriber_is_sent_what_it_lacks_about_once) {
+  const scenario rows[] = {
+      {"snapshot", 1'000, 10, 700, kilobyte, true},
+      {"snapshot, slow", 200, 20, 700, kilobyte, true},
+      {"snapshot, asks at each tick", 200, 20, 700, kilobyte, true, 100},
+      {"snapshot, asks together", 200, 30, 700, kilobyte, true, 500, 2'000},
+      {"entries", 1'000, 20, 3'000, kilobyte, false},
+      {"entries, slow", 200, 60, 3'000, kilobyte, false},
+      {"entries, asks at each tick", 200, 60, 3'000, kilobyte, false, 100},
+      {"entries, asks together", 400, 60, 3'000, kilobyte, false, 500, 2'000},
+      {"small entries", 1'000, 20, 15'000, 100, false},
+      {"snapshot, earlier version", 200, 20, 700, kilobyte, true, 500, 0, 0,
+       false},
+      {"entries, earlier version", 1'000, 20, 3'000, kilobyte, false, 500, 0, 0,
+       false},
+  };
+  for (const scenario& it : rows) {
+    slow_feed feed(it);
+    feed.pass(it.seconds * 1'000);
+    CHECK_TEXT(feed.caught_up(), str_cat(it.name, ": not caught up").c_str());
+    // Small entries have as much again of numbers around them.
+    const size_t around = it.entries * 60;
+    check_within(feed.owed() + around + window, feed.sent(), it);
+  }
+}
+
+// A subscriber that did not get on was sent 0.5 MB or the state at each ask.
+TEST(feed_window, what_waits_for_one_that_does_not_get_on_is_bounded) {
+  const scenario rows[] = {
+      {"entries for 3 s", 0, 3, 3'000, kilobyte, false},
+      {"entries, asks at each tick", 0, 3, 3'000, kilobyte, false, 100},
+      {"small entries", 0, 3, 25'000, 80, false},
+  };
+  for (const scenario& it : rows) {
+    slow_feed feed(it);
+    feed.pass(it.seconds * 1'000);
+    check_within(2 * most_waiting, feed.sent(), it);
+    feed.pass(27'000);
+    check_within(10 * most_waiting, feed.sent(), it);
+  }
+}
+
+TEST(feed_window, what_is_lost_comes_again) {
+  const scenario rows[] = {
+      {"entries", 1'000, 60, 1'000, kilobyte, false, 500, 0, 20},
+      {"snapshot", 1'000, 60, 700, kilobyte, true, 500, 0, 20},
+  };
+  for (const scenario& it : rows) {
+    slow_feed feed(it);
+    feed.pass(it.seconds * 1'000);
+    CHECK_TEXT(feed.caught_up(), str_cat(it.name, ": not caught up").c_str());
+  }
+}
--- a/record/feed.cc
+++ b/record/feed.cc
@@ -12,7 +12,7 @@
 /// A source that served so long ends the round in which each has its turn.
 constexpr milliseconds good_service{10'000};
 constexpr size_t recent_limit = 4 << 20;
-constexpr size_t message_limit = 512 << 10;
+constexpr size_t message_limit = 64 << 10;
 
 }  // namespace detail
 
@@ -38,12 +38,13 @@
                              const proto::feed_request& request,
                              const std::string& leader) {
   subscriber& it = subscribers_[from];
-  it.sent = request.applied();
   it.asked = clock_.now();
   it.leader = leader;
-  if (it.sent < state_.applied()) return send_after(from, it);
+  it.progress.told(request.applied(), it.asked);
+  if (send_after(from, it)) return;
+  // A source that does not answer is given up.
   proto::peer_message m;
-  m.mutable_fed()->set_applied(state_.applied());
+  m.mutable_fed()->set_applied(it.progress.sent());
   m.mutable_fed()->set_leader(leader);
   send_(from, std::move(m));
 }
@@ -51,36 +52,52 @@
 void feed_source::flush() {
   const time_point now = clock_.now();
   for (auto it = subscribers_.begin(); it != subscribers_.end();) {
-    if (now - it->second.asked > detail::subscription) {
+    subscriber& to = it->second;
+    const bool silent = now - to.asked > detail::subscription;
+    if (silent && !to.progress.waits(now)) {
       it = subscribers_.erase(it);
       continue;
     }
-    if (it->second.sent < state_.applied()) send_after(it->first, it->second);
+    if (!silent) send_after(it->first, to);
     ++it;
   }
 }
 
-void feed_source::send_after(const box_id& to, subscriber& it) {
+/// Sends what the subscriber lacks, as far as it may be on its way; false for
+/// nothing.
+bool feed_source::send_after(const box_id& to, subscriber& it) {
+  bool sent = false;
+  while (it.progress.sent() < state_.applied() && it.progress.has_room()) {
+    send_message(to, it);
+    sent = true;
+  }
+  return sent;
+}
+
+void feed_source::send_message(const box_id& to, subscriber& it) {
   proto::peer_message m;
   proto::feed_reply& reply = *m.mutable_fed();
   reply.set_leader(it.leader);
-  const bool have = !recent_.empty() && recent_.front().index() <= it.sent + 1;
+  uint64_t last = it.progress.sent();
+  const bool have = !recent_.empty() && recent_.front().index() <= last + 1;
+  size_t n = 0;
   if (!have) {
     proto::log_snapshot& snapshot = *reply.mutable_snapshot();
     snapshot.set_index(state_.applied());
     snapshot.set_term(state_.applied_term());
     snapshot.set_data(state_.save());
-    it.sent = state_.applied();
+    last = state_.applied();
+    n = snapshot.ByteSizeLong();
   }
-  size_t n = 0;
-  while (it.sent < state_.applied() && n < detail::message_limit) {
-    const proto::log_entry& entry =
-        recent_[it.sent + 1 - recent_.front().index()];
+  while (last < state_.applied() && n < detail::message_limit) {
+    const proto::log_entry& entry = recent_[last + 1 - recent_.front().index()];
     n += entry.ByteSizeLong();
     *reply.add_entries() = entry;
-    ++it.sent;
+    ++last;
   }
-  reply.set_applied(it.sent);
+  it.progress.note_sent(last, n, clock_.now());
+  reply.set_applied(last);
+  reply.set_acknowledge(it.progress.wants_answer());
   send_(to, std::move(m));
 }
 
@@ -97,8 +114,11 @@
     change_source(now);
     behind_since_.reset();
   }
-  if (source_.empty()) return;
-  asked_ = now;
+  if (!source_.empty()) ask(applied);
+}
+
+void feed_sink::ask(uint64_t applied) {
+  asked_ = clock_.now();
   proto::peer_message m;
   m.mutable_feed()->set_applied(applied);
   send_(source_, std::move(m));
@@ -121,8 +141,11 @@
   return now - *behind_since_ > detail::source_patience;
 }
 
-void feed_sink::answered(const box_id& from) {
-  if (from == source_) answered_ = clock_.now();
+void feed_sink::answered(const box_id& from, const proto::feed_reply& reply,
+                         uint64_t applied) {
+  if (from != source_) return;
+  answered_ = clock_.now();
+  if (reply.acknowledge()) ask(applied);
 }
 
 void feed_sink::change_source(time_point now) {
--- a/record/feed.h
+++ b/record/feed.h
@@ -15,6 +15,7 @@
 #include "base/ids.h"
 #include "proto/peer.pb.h"
 #include "record/box-table.h"
+#include "record/feed-progress.h"
 #include "record/record-state.h"
 
 namespace kestrelreel {
@@ -35,16 +36,17 @@
   /// A box asks for what follows `request.applied()`.
   void on_request(const box_id& from, const proto::feed_request& request,
                   const std::string& leader);
-  /// Sends what subscribers lack, at most one message to each.
+  /// Sends what subscribers lack, as far as it may be on its way to them.
   void flush();
 
  private:
   struct subscriber {
-    uint64_t sent = 0;
+    feed_progress progress;
     time_point asked{};
     std::string leader;
   };
-  void send_after(const box_id& to, subscriber& it);
+  bool send_after(const box_id& to, subscriber& it);
+  void send_message(const box_id& to, subscriber& it);
 
   const record_state& state_;
   clock_source& clock_;
@@ -63,10 +65,12 @@
   void tick(uint64_t applied);
   /// The box that is asked now; empty when none is reachable.
   const box_id& source() const { return source_; }
-  /// Notes that the source answered.
-  void answered(const box_id& from);
+  /// A reply was taken from a box; `applied` is the last entry here after it.
+  void answered(const box_id& from, const proto::feed_reply& reply,
+                uint64_t applied);
 
  private:
+  void ask(uint64_t applied);
   void change_source(time_point now);
   std::vector<box_id> candidates() const;
   bool source_lags(uint64_t applied);
