--- a/daemon/record-service.cc
+++ b/daemon/record-service.cc
@@ -230,14 +230,13 @@
 void record_service::on_fed(const box_id& from,
                             const proto::feed_reply& reply) {
   if (!sink_) return;
-  sink_->answered(from);
   fed_leader_ = reply.leader();
-  if (reply.has_snapshot() && reply.snapshot().index() > state_.applied()) {
-    install(reply.snapshot());
-  }
+  const proto::log_snapshot* snapshot = sink_->take_snapshot(from, reply);
+  if (snapshot && snapshot->index() > state_.applied()) install(*snapshot);
   for (const proto::log_entry& it : reply.entries()) {
     if (it.index() == state_.applied() + 1) apply(it);
   }
+  sink_->answered(from, reply, state_.applied());
 }
 
 void record_service::tick() {
--- a/record/feed.cc
+++ b/record/feed.cc
@@ -1,16 +1,20 @@
 #include "record/feed.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace kestrelreel {
 namespace detail {
 
 constexpr milliseconds ask_interval{500};
 constexpr milliseconds subscription{3'000};
+/// What is on its way to a box whose asks come late must not be sent anew.
+constexpr milliseconds remembered{30'000};
 constexpr milliseconds source_patience{1'500};
+/// A source that served so long ends the round in which each has its turn.
+constexpr milliseconds good_service{10'000};
 constexpr size_t recent_limit = 4 << 20;
-constexpr size_t message_limit = 512 << 10;
+constexpr size_t message_limit = 64 << 10;
 
 }  // namespace detail
 
@@ -36,52 +40,127 @@
                              const proto::feed_request& request,
                              const std::string& leader) {
   subscriber& it = subscribers_[from];
-  it.sent = request.applied();
   it.asked = clock_.now();
   it.leader = leader;
-  if (it.sent < state_.applied()) return send_after(from, it);
+  it.in_parts = request.in_parts();
+  const bool holds_part = it.snapshot && it.snapshot->id == request.transfer();
+  it.progress.told({request.applied(), holds_part ? request.held() : 0},
+                   request.seen(), it.asked);
+  if (it.snapshot && request.applied() >= it.snapshot->whole.index()) {
+    it.snapshot.reset();
+  }
+  if (send_after(from, it)) return;
+  // A source that does not answer is given up.
   proto::peer_message m;
-  m.mutable_fed()->set_applied(state_.applied());
+  m.mutable_fed()->set_applied(it.progress.sent().applied);
   m.mutable_fed()->set_leader(leader);
+  m.mutable_fed()->set_number(it.progress.number());
   send_(from, std::move(m));
 }
 
 void feed_source::flush() {
   const time_point now = clock_.now();
   for (auto it = subscribers_.begin(); it != subscribers_.end();) {
-    if (now - it->second.asked > detail::subscription) {
+    subscriber& to = it->second;
+    const bool silent = now - to.asked > detail::subscription;
+    if (now - to.asked > detail::remembered) {
       it = subscribers_.erase(it);
       continue;
     }
-    if (it->second.sent < state_.applied()) send_after(it->first, it->second);
+    if (!silent) send_after(it->first, to);
     ++it;
   }
 }
 
-void feed_source::send_after(const box_id& to, subscriber& it) {
+/// Sends what the subscriber lacks, as far as it may be on its way; false for
+/// nothing.
+bool feed_source::send_after(const box_id& to, subscriber& it) {
+  bool sent = false;
+  while (it.progress.sent().applied < state_.applied() &&
+         it.progress.has_room()) {
+    send_message(to, it);
+    sent = true;
+  }
+  return sent;
+}
+
+void feed_source::send_message(const box_id& to, subscriber& it) {
   proto::peer_message m;
   proto::feed_reply& reply = *m.mutable_fed();
   reply.set_leader(it.leader);
-  const bool have = !recent_.empty() && recent_.front().index() <= it.sent + 1;
-  if (!have) {
-    proto::log_snapshot& snapshot = *reply.mutable_snapshot();
-    snapshot.set_index(state_.applied());
-    snapshot.set_term(state_.applied_term());
-    snapshot.set_data(state_.save());
-    it.sent = state_.applied();
+  feed_position last = it.progress.sent();
+  const bool have = has_after(last.applied);
+  if (have) {
+    it.snapshot.reset();
+    last.part = 0;
+  } else {
+    last = add_snapshot(it, reply);
   }
-  size_t n = 0;
-  while (it.sent < state_.applied() && n < detail::message_limit) {
+  size_t n = reply.ByteSizeLong();
+  const bool entries_follow = last.part == 0 && has_after(last.applied);
+  while (entries_follow && last.applied < state_.applied() &&
+         n < detail::message_limit) {
     const proto::log_entry& entry =
-        recent_[it.sent + 1 - recent_.front().index()];
+        recent_[last.applied + 1 - recent_.front().index()];
     n += entry.ByteSizeLong();
     *reply.add_entries() = entry;
-    ++it.sent;
+    ++last.applied;
   }
-  reply.set_applied(it.sent);
+  it.progress.note_sent(last, n, clock_.now());
+  reply.set_applied(last.applied);
+  reply.set_number(it.progress.number());
+  reply.set_acknowledge(it.progress.wants_answer());
   send_(to, std::move(m));
 }
 
+/// True when all entries after `index` can be given.
+bool feed_source::has_after(uint64_t index) const {
+  if (index == state_.applied()) return true;
+  return !recent_.empty() && recent_.front().index() <= index + 1;
+}
+
+/// Adds the next part of a snapshot, or a whole one for a box that takes no
+/// parts. Returns where the box is when it has that.
+feed_position feed_source::add_snapshot(subscriber& it,
+                                        proto::feed_reply& reply) {
+  const feed_position at = it.progress.sent();
+  const bool goes_on =
+      it.snapshot && at.part > 0 && it.snapshot->whole.index() > at.applied;
+  const bool again = it.snapshot && has_after(it.snapshot->whole.index());
+  if (!goes_on && !again) it.snapshot = take_snapshot();
+  const proto::log_snapshot& whole = it.snapshot->whole;
+  proto::log_snapshot& part = *reply.mutable_snapshot();
+  if (!it.in_parts) {
+    part = whole;
+    return {whole.index(), 0};
+  }
+  const uint64_t offset = goes_on ? at.part : 0;
+  part.set_index(whole.index());
+  part.set_term(whole.term());
+  part.set_data(whole.data().substr(offset, detail::message_limit));
+  reply.set_transfer(it.snapshot->id);
+  reply.set_offset(offset);
+  reply.set_total(whole.data().size());
+  const uint64_t end = offset + part.data().size();
+  if (end < whole.data().size()) return {at.applied, end};
+  return {whole.index(), 0};
+}
+
+std::shared_ptr<const feed_snapshot> feed_source::take_snapshot() {
+  auto latest = latest_.lock();
+  if (latest && latest->whole.index() == state_.applied()) return latest;
+  // Parts that a box holds from an earlier life of this one fit no later one.
+  if (transfers_ == 0)
+    transfers_ = static_cast<uint64_t>(clock_.now().count()) << 20;
+  auto it = std::make_shared<feed_snapshot>();
+  it->id = ++transfers_;
+  it->whole.set_index(state_.applied());
+  it->whole.set_term(state_.applied_term());
+  it->whole.set_data(state_.save());
+  latest_ = it;
+  return it;
+}
+
 feed_sink::feed_sink(const box_table& boxes, clock_source& clock,
                      send_function send)
     : boxes_(boxes), clock_(clock), send_(std::move(send)) {}
@@ -92,14 +171,24 @@
   const bool silent = now - answered_ > detail::source_patience;
   const bool lags = source_lags(applied);
   if (source_.empty() || !boxes_.live(source_) || silent || lags) {
-    source_ = choose();
-    answered_ = now;
+    change_source(now);
     behind_since_.reset();
   }
-  if (source_.empty()) return;
-  asked_ = now;
+  if (!source_.empty()) ask(applied);
+}
+
+void feed_sink::ask(uint64_t applied) {
+  asked_ = clock_.now();
   proto::peer_message m;
-  m.mutable_feed()->set_applied(applied);
+  proto::feed_request& request = *m.mutable_feed();
+  request.set_applied(applied);
+  request.set_in_parts(true);
+  if (incoming_.whole.index() <= applied) incoming_ = {};
+  if (source_ == incoming_from_) {
+    request.set_transfer(incoming_.id);
+    request.set_held(incoming_.whole.data().size());
+  }
+  request.set_seen(seen_);
   send_(source_, std::move(m));
 }
 
@@ -117,35 +206,71 @@
     return false;
   }
   if (!behind_since_) behind_since_ = now;
-  return now - *behind_since_ > detail::source_patience;
+  // What came of a snapshot would be lost with its source.
+  return now - std::max(*behind_since_, part_came_) > detail::source_patience;
 }
 
-void feed_sink::answered(const box_id& from) {
-  if (from == source_) answered_ = clock_.now();
+void feed_sink::answered(const box_id& from, const proto::feed_reply& reply,
+                         uint64_t applied) {
+  if (from != source_) return;
+  answered_ = clock_.now();
+  seen_ = reply.number();
+  if (reply.acknowledge()) ask(applied);
+}
+
+const proto::log_snapshot* feed_sink::take_snapshot(
+    const box_id& from, const proto::feed_reply& reply) {
+  if (!reply.has_snapshot()) return nullptr;
+  if (reply.total() == 0) return &reply.snapshot();
+  proto::log_snapshot& whole = incoming_.whole;
+  if (from != incoming_from_ || incoming_.id != reply.transfer()) {
+    if (from != source_) return nullptr;
+    incoming_from_ = from;
+    incoming_ = {reply.transfer(), reply.snapshot()};
+    whole.clear_data();
+  }
+  if (reply.offset() != whole.data().size()) return nullptr;
+  *whole.mutable_data() += reply.snapshot().data();
+  part_came_ = clock_.now();
+  return whole.data().size() < reply.total() ? nullptr : &whole;
 }
 
-/// The nearest live box: a replica here, a replica elsewhere, then any box
-/// here that is ahead. Among equals the next after the one that fell silent.
-box_id feed_sink::choose() const {
+void feed_sink::change_source(time_point now) {
+  if (now - chosen_ > detail::good_service) tried_.clear();
+  if (!source_.empty()) tried_.insert(source_);
+  const std::vector<box_id> all = candidates();
+  const auto untried = [&](const box_id& it) { return !tried_.contains(it); };
+  auto next = std::ranges::find_if(all, untried);
+  if (next == all.end()) {
+    tried_.clear();
+    const bool others = all.size() > 1;
+    if (others && !source_.empty()) tried_.insert(source_);
+    next = std::ranges::find_if(all, untried);
+  }
+  source_ = next == all.end() ? box_id() : *next;
+  seen_ = 0;
+  chosen_ = answered_ = now;
+}
+
+/// Live boxes, the nearest first: replicas here, replicas elsewhere, then the
+/// other boxes here.
+std::vector<box_id> feed_sink::candidates() const {
   const data_centre_id& here = boxes_.own_data_centre();
-  std::vector<box_id> near_replicas;
+  std::vector<box_id> all;
   std::vector<box_id> far_replicas;
   std::vector<box_id> near_boxes;
   for (const box_entry& it : boxes_.boxes()) {
     if (it.id == boxes_.self() || !boxes_.live(it.id)) continue;
     const bool near = it.data_centre == here;
     if (it.replica) {
-      (near ? near_replicas : far_replicas).push_back(it.id);
+      (near ? all : far_replicas).push_back(it.id);
     } else if (near) {
       near_boxes.push_back(it.id);
     }
   }
-  for (const auto* group : {&near_replicas, &far_replicas, &near_boxes}) {
-    for (const box_id& it : *group) {
-      if (it != source_) return it;
-    }
-  }
-  return boxes_.live(source_) ? source_ : box_id();
+  all.insert(all.end(), far_replicas.begin(), far_replicas.end());
+  all.insert(all.end(), near_boxes.begin(), near_boxes.end());
+  return all;
 }
 
 }  // namespace kestrelreel
