Fault soak: control boxes that are absent for seconds and return, and leases

The soak's cuts were over within 2.6 s, its jobs are so small that no log was compacted meanwhile, its links take any load at once, and it judged only ends that a box had acknowledged, so it could not see that class.

Two more promises: UNHEARD, a living worker without a grant for longer than a lease, excused for 4 s after a strike but not by a return; and AGAIN, a start after a good end whose worker has held its lease since.

--- a/support/faults/fault-plan.cc
+++ b/support/faults/fault-plan.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "support/faults/absence-plan.h"
+
 namespace kestrelreel::faults {
 namespace {
 
@@ -78,6 +80,27 @@
   }
 }
 
+std::vector<fault_strike> plan_strikes(const plan_settings& settings) {
+  seeded_random random(settings.seed);
+  std::vector<fault_strike> out;
+  time_point at = first_strike;
+  while (at < settings.length) {
+    fault_strike it;
+    it.at = at;
+    it.on_entry = random.below(5) == 0;
+    it.on_leader = !it.on_entry && random.below(10) < on_leader_of_ten;
+    it.kind = it.on_entry ? entry_kinds[random.below(entry_kinds.size())]
+                          : control_kinds[random.below(control_kinds.size())];
+    const unsigned boxes = it.on_entry ? settings.entries : settings.controls;
+    it.box = static_cast<unsigned>(random.below(boxes));
+    it.length =
+        milliseconds(shortest_ms + random.below(longest_ms - shortest_ms));
+    out.push_back(it);
+    at += milliseconds(least_gap_ms + random.below(gap_spread_ms));
+  }
+  return out;
+}
+
 }  // namespace
 
 const char* to_string(fault_kind kind) {
@@ -106,28 +129,15 @@
       return "terminate";
     case fault_kind::reload:
       return "reload";
+    case fault_kind::absence:
+      return "absence";
   }
   return "reload";
 }
 
 std::vector<fault_strike> plan_faults(const plan_settings& settings) {
-  seeded_random random(settings.seed);
-  std::vector<fault_strike> out;
-  time_point at = first_strike;
-  while (at < settings.length) {
-    fault_strike it;
-    it.at = at;
-    it.on_entry = random.below(5) == 0;
-    it.on_leader = !it.on_entry && random.below(10) < on_leader_of_ten;
-    it.kind = it.on_entry ? entry_kinds[random.below(entry_kinds.size())]
-                          : control_kinds[random.below(control_kinds.size())];
-    const unsigned boxes = it.on_entry ? settings.entries : settings.controls;
-    it.box = static_cast<unsigned>(random.below(boxes));
-    it.length =
-        milliseconds(shortest_ms + random.below(longest_ms - shortest_ms));
-    out.push_back(it);
-    at += milliseconds(least_gap_ms + random.below(gap_spread_ms));
-  }
+  std::vector<fault_strike> out =
+      settings.absences > 0 ? plan_absences(settings) : plan_strikes(settings);
   add_stops(settings, out);
   add_suspensions(settings, out);
   std::stable_sort(out.begin(), out.end(),
--- a/support/faults/fault-plan.h
+++ b/support/faults/fault-plan.h
@@ -33,6 +33,9 @@
   terminate,
   /// SIGHUP.
   reload,
+  /// As `cut`, of one box or several and for so long that the others may
+  /// compact what it misses; see `absence_plan`.
+  absence,
 };
 
 const char* to_string(fault_kind kind);
@@ -44,8 +47,12 @@
   /// The leader by then, else the box of that number among its role.
   bool on_leader = false;
   bool on_entry = false;
+  /// A box that is absent by then, if one is.
+  bool on_absent = false;
   unsigned box = 0;
   milliseconds length{0};
+  /// So many boxes, from that one on.
+  unsigned boxes = 1;
 };
 
 /// How a soak is made up.
@@ -58,6 +65,9 @@
   unsigned stops = 1;
   /// The same of boxes that are suspended, half of them the leader.
   unsigned suspensions = 0;
+  /// Absences of control boxes, one after the other; with them no other
+  /// strikes come but theirs, the stops and the suspensions.
+  unsigned absences = 0;
   /// Faults strike from the first second to this one.
   milliseconds length{15'000};
 };
--- a/support/faults/history-test.cc
+++ b/support/faults/history-test.cc
@@ -109,6 +109,44 @@
      }},
 };
 
+/// Two runs after each other, the first with a good end on a worker that was
+/// granted a lease at 4 ms, and again at each of these times.
+void runs_again(history& it, std::initializer_list<int> granted, int again,
+                bool crashes_between = false) {
+  constexpr milliseconds hold{100};
+  tries(it, {504});
+  it.leases().granted("i-1", time_point(4), hold);
+  run_record first = run_of(1, 5);
+  first.worker = "i-1";
+  it.began(task, first);
+  it.ended(task, 1, time_point(6), true);
+  for (const int at : granted) it.leases().granted("i-1", time_point(at), hold);
+  if (crashes_between) it.leases().life_over("i-1");
+  it.began(task, run_of(2, again));
+}
+
+const row again_rows[] = {
+    {"after a good end, while its worker holds its lease", "AGAIN",
+     [](history& it) {
+       runs_again(it, {50, 120}, 200);
+     }},
+    {"after a good end, when its worker's lease is over", "",
+     [](history& it) {
+       runs_again(it, {50, 120}, 221);
+     }},
+    {"after a good end, when its worker has crashed", "",
+     [](history& it) { runs_again(it, {}, 50, true); }},
+    {"after a good end, and then its worker crashes", "AGAIN",
+     [](history& it) {
+       runs_again(it, {}, 50);
+       it.leases().life_over("i-1");
+     }},
+    {"a worker is unheard for longer than its lease", "UNHEARD",
+     [](history& it) {
+       runs_again(it, {50, 151}, 252);
+     }},
+};
+
 const row cancel_rows[] = {
     {"a start long after an acknowledged cancel", "CANCELLED",
      [](history& it) {
@@ -281,6 +319,7 @@
 }  // namespace
 
 TEST(soak_history, runs) { check_rows(run_rows); }
+TEST(soak_history, runs_again) { check_rows(again_rows); }
 TEST(soak_history, cancels) { check_rows(cancel_rows); }
 TEST(soak_history, crashes) { check_rows(crash_rows); }
 TEST(soak_history, states) { check_rows(state_rows); }
--- a/support/faults/history.cc
+++ b/support/faults/history.cc
@@ -108,9 +108,21 @@
   if (!job_of_.contains(task)) {
     faults_.push_back(str_cat("UNASKED ", task.str(), ": ", text_of(it)));
   }
+  check_again(task, it);
   tasks_[task].push_back(it);
 }
 
+/// Right at the start: a worker that crashes later held its lease until then.
+void history::check_again(const task_name& task, const run_record& it) {
+  for (const run_record& before : tasks_[task]) {
+    // One that was noted is told as `TWICE`.
+    if (!before.done || before.noted || *before.ended >= it.began) continue;
+    if (!leases_.held(before.worker, *before.ended, it.began)) continue;
+    faults_.push_back(str_cat("AGAIN ", task.str(), ": ", text_of(before), "; ",
+                              text_of(it)));
+  }
+}
+
 void history::ended(const task_name& task, uint32_t run, time_point at,
                     bool done) {
   for (run_record& it : tasks_[task]) {
@@ -281,6 +293,8 @@
   out.insert(out.end(), reads.begin(), reads.end());
   const auto cut_off = stops_.broken();
   out.insert(out.end(), cut_off.begin(), cut_off.end());
+  const auto& unheard = leases_.broken();
+  out.insert(out.end(), unheard.begin(), unheard.end());
   check_refused(out);
   check_twice(out);
   check_cancelled(out, calm);
--- a/support/faults/history.h
+++ b/support/faults/history.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "support/faults/lease-history.h"
 #include "support/faults/register-history.h"
 #include "support/faults/stop-history.h"
 
@@ -103,6 +104,9 @@
   /// Which entry boxes were told to stop, and what was cut off.
   stop_history& stops() { return stops_; }
   const stop_history& stops() const { return stops_; }
+  /// Which workers held leases.
+  lease_history& leases() { return leases_; }
+  const lease_history& leases() const { return leases_; }
 
   /// Every promise that was broken, a line each. `calm` when faults are over
   /// for long enough that all that was accepted must have ended.
@@ -136,6 +140,7 @@
     /// Taken, and to be done once calm.
     bool is_owed() const;
   };
+  void check_again(const task_name& task, const run_record& it);
   void check_refused(std::vector<std::string>& out) const;
   void check_twice(std::vector<std::string>& out) const;
   void check_lost(std::vector<std::string>& out) const;
@@ -157,6 +162,7 @@
   std::vector<std::string> faults_;
   register_history configurations_;
   stop_history stops_;
+  lease_history leases_;
   size_t runs_ = 0;
 };
 
--- a/support/faults/link-proxy.cc
+++ b/support/faults/link-proxy.cc
@@ -1,6 +1,8 @@
 #include "support/faults/link-proxy.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -14,9 +16,12 @@
 class link_proxy::connection
     : public std::enable_shared_from_this<link_proxy::connection> {
  public:
-  connection(boost::asio::io_context& io, tcp::socket peer,
-             const std::set<std::string>& shunned)
-      : peer_(std::move(peer)), box_(io), shunned_(shunned) {}
+  connection(link_proxy& proxy, tcp::socket peer)
+      : proxy_(proxy),
+        peer_(std::move(peer)),
+        box_(proxy.io_),
+        towards_due_(proxy.io_),
+        from_due_(proxy.io_) {}
 
   void start(const tcp::endpoint& box) {
     box_.async_connect(box, [self = shared_from_this()](
@@ -55,9 +60,21 @@
                          if (&in == &self->peer_)
                            self->look_for_dialler(buf, n);
                          if (mute) return self->pump(in, out, buf, mute);
-                         self->pass_on(in, out, buf, n, mute);
+                         self->pass_in_time(in, out, buf, n, mute);
                        });
   }
+  void pass_in_time(tcp::socket& in, tcp::socket& out, buffer_type& buf,
+                    size_t n, const bool& mute) {
+    if (proxy_.rate_ == 0) return pass_on(in, out, buf, n, mute);
+    const bool towards = &in == &peer_;
+    auto& due = towards ? towards_due_ : from_due_;
+    due.expires_at(proxy_.book(
+        towards ? proxy_.towards_free_at_ : proxy_.from_free_at_, n));
+    due.async_wait([self = shared_from_this(), &in, &out, &buf, n,
+                    &mute](boost::system::error_code) {
+      self->pass_on(in, out, buf, n, mute);
+    });
+  }
   void pass_on(tcp::socket& in, tcp::socket& out, buffer_type& buf, size_t n,
                const bool& mute) {
     boost::asio::async_write(out, boost::asio::buffer(buf.data(), n),
@@ -77,7 +94,7 @@
     });
     if (dialler_.empty()) return;
     head_.clear();
-    if (shunned_.contains(dialler_)) silence_it(silence::both);
+    if (proxy_.shunned_.contains(dialler_)) silence_it(silence::both);
   }
   /// The end of one side is told to the other, unless that way is silent.
   void ended(bool mute) {
@@ -89,13 +106,15 @@
     box_.close(ec);
   }
 
+  link_proxy& proxy_;
   tcp::socket peer_;
   tcp::socket box_;
+  boost::asio::steady_timer towards_due_;
+  boost::asio::steady_timer from_due_;
   buffer_type towards_{};
   buffer_type from_{};
   bool mute_towards_ = false;
   bool mute_from_ = false;
-  const std::set<std::string>& shunned_;
   std::string head_;
   std::string dialler_;
 };
@@ -114,6 +133,15 @@
   reset_open_ones();
 }
 
+link_proxy::instant link_proxy::book(instant& free_at, size_t n) const {
+  const instant now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> length(static_cast<double>(n) /
+                                             static_cast<double>(rate_));
+  free_at = std::max(free_at, now) +
+            std::chrono::duration_cast<instant::duration>(length);
+  return free_at;
+}
+
 bool link_proxy::take_new_ones(bool it) {
   boost::system::error_code ec;
   if (!it) {
@@ -136,7 +164,7 @@
                              boost::system::error_code ec, tcp::socket socket) {
     if (alive.expired() || ec) return;
     std::erase_if(open_, [](const auto& it) { return it->is_over(); });
-    auto it = std::make_shared<connection>(io_, std::move(socket), shunned_);
+    auto it = std::make_shared<connection>(*this, std::move(socket));
     open_.insert(it);
     it->start(box_);
     accept();
--- a/support/faults/link-proxy.h
+++ b/support/faults/link-proxy.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +27,8 @@
   /// New connections are taken, or refused as by a machine that runs no
   /// process. False when the address can't be had.
   bool take_new_ones(bool it);
+  /// What passes in a second, each way; 0 is no limit.
+  void limit(size_t bytes_a_second) { rate_ = bytes_a_second; }
   /// Connections that are open now fall silent for good: no byte, no end.
   void silence_open_ones(silence way);
   /// Connections that are open now are reset.
@@ -35,7 +39,11 @@
 
  private:
   class connection;
+  using instant = std::chrono::steady_clock::time_point;
+
   void accept();
+  /// Until when bytes that are passed on now take the way whose end that is.
+  instant book(instant& free_at, size_t n) const;
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint known_at_;
@@ -43,6 +51,10 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<connection>> open_;
   std::set<std::string> shunned_;
+  size_t rate_ = 0;
+  // When each way has carried what was read for it.
+  instant towards_free_at_{};
+  instant from_free_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/support/faults/main.cc
+++ b/support/faults/main.cc
@@ -17,7 +17,8 @@
 Usage:
   fault-soak-driver --folder DIR --seed K [--seconds N] [--controls N]
                     [--entries N] [--callers N] [--workers N] [--stops N]
-                    [--suspensions N] [--net N]
+                    [--suspensions N] [--absences N] [--text-kb N]
+                    [--link-mb N] [--net N]
 
 Asks on standard output for starts ("start NAME") and reports on standard
 error.
@@ -34,6 +35,11 @@
                  [default: 1]
   --suspensions N  Boxes that are suspended, beside the seed's strikes.
                  [default: 0]
+  --absences N   Absences of control boxes, one after the other, in place of
+                 the seed's strikes. [default: 0]
+  --text-kb N    What a job's text has at least. [default: 0]
+  --link-mb N    What passes to and from each control box in a second; 0 is no
+                 limit. [default: 0]
   --net N        The second part of the addresses 127.N.x.y. [default: 64]
 )";
 
@@ -55,6 +61,9 @@
   it.place.net = number(options, "--net");
   it.plan.stops = number(options, "--stops");
   it.plan.suspensions = number(options, "--suspensions");
+  it.plan.absences = number(options, "--absences");
+  it.text_bytes = size_t{number(options, "--text-kb")} << 10;
+  it.link_bytes = size_t{number(options, "--link-mb")} << 20;
   it.callers = number(options, "--callers");
   it.workers = number(options, "--workers");
   return it;
@@ -70,8 +79,8 @@
             << " states=" << it.states << " writes=" << it.writes
             << " reads=" << it.reads << " stops=" << it.stops
             << " crashes=" << it.crashes << " strikes=" << it.strikes.size()
-            << " tries=\"" << statuses << "\" broken=" << it.broken.size()
-            << "\n";
+            << " unheard-ms=" << it.longest_unheard.count() << " tries=\""
+            << statuses << "\" broken=" << it.broken.size() << "\n";
   if (it.broken.empty()) return;
   for (const std::string& line : it.strikes) std::cerr << "  " << line << "\n";
   const auto logs = kestrelreel::faults::read_logs(settings.place.folder);
--- a/support/faults/soak-caller.cc
+++ b/support/faults/soak-caller.cc
@@ -69,12 +69,13 @@
 
 soak_caller::soak_caller(boost::asio::io_context& io, clock_source& clock,
                          const std::vector<std::string>& entries, history& seen,
-                         uint64_t seed)
+                         uint64_t seed, size_t text_bytes)
     : io_(io),
       clock_(clock),
       entries_(connections_to(io, entries)),
       seen_(seen),
-      random_(seed) {}
+      random_(seed),
+      text_bytes_(text_bytes) {}
 
 job_name soak_caller::draw_name() {
   char name[job_digits + 1];
@@ -106,7 +107,8 @@
   const bool crashes =
       meant == intent::to_end && job.str().ends_with(crashes_by_name);
   if (crashes) seen_.plan_crash(job);
-  const char* text = is_long ? long_spec : crashes ? crash_spec : "s";
+  std::string text = is_long ? long_spec : crashes ? crash_spec : "s";
+  text.resize(std::max(text.size(), text_bytes_), '.');
   return json::serialize(json::object{{"Spec", text}, {"Steps", steps}});
 }
 
--- a/support/faults/soak-caller.h
+++ b/support/faults/soak-caller.h
@@ -20,7 +20,7 @@
  public:
   soak_caller(boost::asio::io_context& io, clock_source& clock,
               const std::vector<std::string>& entries, history& seen,
-              uint64_t seed);
+              uint64_t seed, size_t text_bytes = 0);
   /// Calls until `until`, then reads the states of some that were taken.
   boost::asio::awaitable<void> run(time_point until);
 
@@ -48,6 +48,8 @@
   std::vector<std::unique_ptr<http_connection>> entries_;
   history& seen_;
   seeded_random random_;
+  // So long a job's text is at least.
+  size_t text_bytes_;
   std::vector<job_name> taken_;
 };
 
--- a/support/faults/soak-run.cc
+++ b/support/faults/soak-run.cc
@@ -50,6 +50,7 @@
     links_.push_back(std::make_unique<link_proxy>(
         io_, endpoint(place.control_ip(i), soak_peer_port),
         endpoint(place.hidden_ip(i), soak_peer_port)));
+    links_.back()->limit(settings_.link_bytes);
     if (!links_.back()->take_new_ones(true)) return false;
   }
   return true;
@@ -77,6 +78,7 @@
   result_.stops = seen_.stops().stops();
   result_.writes = seen_.configurations().writes();
   result_.reads = seen_.configurations().reads();
+  result_.longest_unheard = seen_.leases().longest_unheard();
   return result_;
 }
 
@@ -121,7 +123,8 @@
   const time_point until = began_ + settings_.plan.length;
   for (unsigned i = 0; i < settings_.callers; ++i) {
     callers_.push_back(std::make_unique<soak_caller>(
-        io_, clock_, entries, seen_, settings_.plan.seed * 1'000 + 500 + i));
+        io_, clock_, entries, seen_, settings_.plan.seed * 1'000 + 500 + i,
+        settings_.text_bytes));
     co_spawn(io_, callers_.back()->run(until), detached);
   }
   for (const auto& it : operators_) co_spawn(io_, it->run(until), detached);
@@ -139,11 +142,14 @@
 
 boost::asio::awaitable<void> soak_run::strike(fault_strike it) {
   if (it.on_leader) it.box = boxes_.leader();
+  if (it.on_absent && !absent_.empty()) it.box = *absent_.begin();
   const std::string name = it.on_entry ? soak_place::entry_name(it.box)
                                        : soak_place::control_name(it.box);
   result_.strikes.push_back(
       str_cat((clock_.now() - began_).count(), " ", to_string(it.kind), " ",
-              name, it.on_leader ? " (leader) " : " ", it.length.count()));
+              name, it.on_leader ? " (leader) " : " ", it.length.count(),
+              it.boxes > 1 ? str_cat(" and ", it.boxes - 1, " more") : ""));
+  if (!it.on_entry) excuse_leases(it);
   switch (it.kind) {
     case fault_kind::dark_after_answers_vanish:
       co_return co_await dark_after_answers_vanish(it, name);
@@ -166,11 +172,39 @@
     case fault_kind::reload:
       boxes_.signal(name, SIGHUP);
       co_return;
+    case fault_kind::absence:
+      co_return co_await absence(it);
     default:
       co_return co_await strike_links(it);
   }
 }
 
+/// Workers may be unheard for a while after a strike, but not because a box
+/// that was absent is back.
+void soak_run::excuse_leases(const fault_strike& it) {
+  if (it.kind == fault_kind::reload || absent_.contains(it.box)) return;
+  const time_point now = clock_.now();
+  const bool waits = it.kind == fault_kind::terminate;
+  milliseconds length = waits ? it.length + stop_patience : it.length;
+  if (it.kind == fault_kind::dark_after_answers_vanish) {
+    length += answers_vanish_for;
+  }
+  if (it.kind == fault_kind::absence) length = milliseconds(0);
+  seen_.leases().excused(now, now + length + settled_within);
+}
+
+boost::asio::awaitable<void> soak_run::absence(fault_strike it) {
+  std::set<unsigned> boxes;
+  for (unsigned i = 0; i < it.boxes; ++i) {
+    boxes.insert((it.box + i) % settings_.place.controls);
+  }
+  for (const unsigned box : boxes) cut_off(box, true);
+  absent_ = boxes;
+  co_await nap(it.length);
+  absent_.clear();
+  for (const unsigned box : boxes) cut_off(box, false);
+}
+
 /// What the entry box owes is excused from now until `until`.
 void soak_run::note_strike(const fault_strike& it, time_point until) {
   if (!it.on_entry) return;
@@ -231,10 +265,13 @@
                                                      const std::string& name) {
   co_await nap(it.length);
   start(name);
-  if (!it.on_entry) links_[it.box]->take_new_ones(true);
+  if (!it.on_entry && !absent_.contains(it.box)) {
+    links_[it.box]->take_new_ones(true);
+  }
 }
 
 void soak_run::cut_off(unsigned box, bool it) {
+  if (absent_.contains(box)) return;
   const std::string ip = settings_.place.control_ip(box);
   if (it) links_[box]->silence_open_ones(silence::both);
   links_[box]->take_new_ones(!it);
@@ -273,6 +310,7 @@
   for (const auto& it : operators_) {
     read = co_await it->read_once(founding_patience) && read;
   }
+  seen_.leases().over(clock_.now());
   result_.broken = seen_.broken(true);
   for (std::string& it : boxes_.ended_by_themselves()) {
     result_.broken.push_back(std::move(it));
--- a/support/faults/soak-run.h
+++ b/support/faults/soak-run.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   soak_place place;
   unsigned callers = 24;
   unsigned workers = 12;
+  /// What a job's text has at least.
+  size_t text_bytes = 0;
+  /// What passes to and from each control box in a second; 0 is no limit.
+  size_t link_bytes = 0;
 };
 
 /// What came of it; clean when `broken` is empty.
@@ -39,6 +44,7 @@
   size_t crashes = 0;
   size_t writes = 0;
   size_t reads = 0;
+  milliseconds longest_unheard{0};
 };
 
 /// Runs once. Not thread-safe.
@@ -56,6 +62,8 @@
       const fault_strike& it, const std::string& name);
   boost::asio::awaitable<void> freeze(const fault_strike& it,
                                       const std::string& name);
+  boost::asio::awaitable<void> absence(fault_strike it);
+  void excuse_leases(const fault_strike& it);
   void note_strike(const fault_strike& it, time_point until);
   boost::asio::awaitable<void> restart_after(const fault_strike& it,
                                              const std::string& name);
@@ -76,6 +84,8 @@
   std::vector<std::unique_ptr<soak_worker>> workers_;
   std::vector<std::unique_ptr<soak_caller>> callers_;
   std::vector<std::unique_ptr<soak_operator>> operators_;
+  // Control boxes that no other strike brings back.
+  std::set<unsigned> absent_;
   soak_result result_;
   time_point began_{};
 };
--- a/support/faults/soak-worker.cc
+++ b/support/faults/soak-worker.cc
@@ -78,6 +78,7 @@
   for (const auto& [task, it] : running_) {
     seen_.ended(task, it.run, now, false);
   }
+  seen_.leases().life_over(id());
   running_.clear();
   over_.clear();
   ended_.clear();
@@ -176,7 +177,10 @@
   if (fence < fence_) return;
   fence_ = fence;
   const milliseconds hold(number_or(orders, "HoldMs", 0));
-  if (hold.count() > 0) lease_until_ = std::max(lease_until_, sent + hold);
+  if (hold.count() > 0) {
+    lease_until_ = std::max(lease_until_, sent + hold);
+    seen_.leases().granted(id(), sent, hold);
+  }
   note_ends(number_or(orders, "LastSeen", 0));
   take_stops(orders);
   if (clock_.now() < lease_until_) take_starts(orders, from);
@@ -203,7 +207,8 @@
     record.began = now;
     seen_.began(task, record);
     check_room(task);
-    if (text_at(row, 2) == crash_spec && task.str().ends_with(".0.0.0")) {
+    if (text_at(row, 2).starts_with(crash_spec) &&
+        task.str().ends_with(".0.0.0")) {
       crashes_at_ = now + crash_delay;
       seen_.crashes(task, run);
     }
@@ -211,7 +216,7 @@
 }
 
 milliseconds soak_worker::work_of(const std::string& text) {
-  if (text == long_spec) return long_work;
+  if (text.starts_with(long_spec)) return long_work;
   const auto spread = static_cast<uint64_t>(
       (settings_.most_work - settings_.least_work).count());
   return settings_.least_work + milliseconds(random_.below(spread + 1));
--- a/support/faults/soak-worker.h
+++ b/support/faults/soak-worker.h
@@ -17,13 +17,13 @@
 
 namespace kestrelreel::faults {
 
-/// What a job's text says whose tasks take `long_work`, so that they run when
-/// it is cancelled.
+/// What a job's text begins with whose tasks take `long_work`, so that they run
+/// when it is cancelled.
 constexpr const char* long_spec = "long";
 constexpr milliseconds long_work{9'000};
 
-/// What the text says of a job whose first task crashes each worker that starts
-/// it.
+/// What the text of a job begins with whose first task crashes each worker that
+/// starts it.
 constexpr const char* crash_spec = "crash";
 /// From the start until the worker crashes, and until it is back.
 constexpr milliseconds crash_delay{10};
