A good end that comes late recalls a later run that nobody was sent; starts wait 0.8 s again

Cause: whether the later run could have begun was not asked. The leader knows: a start that it sent in no answer can't begin. Now such a start is taken back before the end goes into the log, in this order, so that the end counts; while the start is still on its way into the log the worker's end waits for its next call, and the start is taken back as it comes. late-end shows both cases: it fails without (job running, its task sent again), and passes.

The new check of the counter of starts that were taken back looks at 700 ms in place of 900.

--- /dev/null
+++ b/fleet/controller-late-ends.cc
@@ -0,0 +1,59 @@
+// Good ends of runs that were given up on, while a later run of the task was
+// ordered nowhere yet: it never needs to begin.
+#include "fleet/controller.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "controller";
+/// A worker lists an end that is not acknowledged with its next call, well
+/// within this. One that calls no more leaves its end untold.
+constexpr milliseconds listed_again_within{2'000};
+
+}  // namespace detail
+
+/// Recalls a later run of the task, so that the end counts. False while that
+/// run's start is on its way into the log: the end, and what is listed after
+/// it, waits for the worker's next call.
+bool fleet_controller::make_way(const fleet::run_end& end) {
+  const task_key key = to_key(end.task());
+  const task_entry* task = book_.find(key);
+  const fleet::step_spec* step = book_.find_step(key);
+  if (end.outcome() != fleet::run_done || task == nullptr) return true;
+  // What another member's start or a new life of the task stands for is not
+  // told by this end.
+  if (step->gang() || step->long_running()) return true;
+  if (task->phase == task_phase::waiting && scheduler_.is_proposed(key)) {
+    ended_well_[key] = clock_.now();
+    return false;
+  }
+  ended_well_.erase(key);
+  const bool later =
+      task->phase == task_phase::running && task->run > run_number(end.run());
+  if (later) recall({key, task->run}, task->worker);
+  return true;
+}
+
+/// Takes back a start that was sent in no answer.
+void fleet_controller::recall(const run_key& run, const worker_id& worker) {
+  worker_view* it = workers_.find(worker);
+  if (it == nullptr || it->unsent.erase(run) == 0) return;
+  log_event(detail::service_name, log_level::info, "start-recalled")
+      .with("task", to_text(run.task))
+      .with("run", run.run.value())
+      .with("worker", worker.str())
+      .with("cause", "an earlier run ended well");
+  propose_loss(*it, {run}, loss_cause::unsent);
+}
+
+void fleet_controller::recall_if_ended(const run_key& run,
+                                       const worker_id& worker) {
+  const auto it = ended_well_.find(run.task);
+  if (it == ended_well_.end()) return;
+  const bool recent = clock_.now() - it->second < detail::listed_again_within;
+  ended_well_.erase(it);
+  if (recent) recall(run, worker);
+}
+
+}  // namespace kestrelreel
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -190,16 +190,6 @@
   return std::min(lag_.stretched(pause), std::max(wished, most));
 }
 
-/// Until when a start that the log has just kept waits to be sent: with the
-/// answer that its worker waits for, else with the one to its next call. A
-/// leader that is behind places starts only where a call waits: one that its
-/// answer left out is to go elsewhere soon.
-time_point fleet_controller::order_ends_at(const worker_view& it) const {
-  const time_point soon = clock_.now() + longest_call_way;
-  const bool call_waits = it.respond || lag_.behind();
-  return call_waits ? soon : std::max(soon, it.overdue_at());
-}
-
 /// Holds the call for work that may come, where that is better than to wait for
 /// the worker's next one; false where it is to be answered now. What is told of
 /// a worker's end or of its runs is never held up.
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -274,10 +274,9 @@
   if (!over.empty()) propose_loss(it, over, loss_cause::lease);
 }
 
-/// How far orders may lag behind the book: until the worker's next call is
-/// overdue. What waits for one that does not call holds room elsewhere than
-/// where it could run. A start that nobody was told of can't begin, and while
-/// it is being taken back nobody is.
+/// How far orders may lag behind the book: what waits for a worker that does
+/// not call soon holds room elsewhere than where it could run. A start that
+/// nobody was told of can't begin, and while it is being taken back nobody is.
 void fleet_controller::review_unsent() {
   const time_point now = clock_.now();
   workers_.marks().unsent.review([&](worker_view& it) {
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -164,6 +164,7 @@
   report.set_worker(it.id.str());
   for (const fleet::run_end& end : it.beat.ended()) {
     if (end.number() <= known) continue;
+    if (!make_way(end)) break;
     *report.add_ends() = end;
     it.end_proposed = std::max(it.end_proposed, end.number());
     note_end(it, end);
@@ -312,10 +313,11 @@
     // What was counted as proposed counts on, unless the book left it out.
     const bool counted = view->proposed.erase(run) > 0;
     if (counted && leads_) {
-      view->unsent[run] = order_ends_at(*view);
+      view->unsent[run] = clock_.now() + longest_call_way;
       workers_.marks().unsent.add(*view);
       workers_.marks().held_calls.remove(*view);
       workers_.marks().calling.add(*view);
+      recall_if_ended(run, view->id);
     }
     if (!counted || !book_.runs_on(view->id).contains(run)) {
       view->load_is_old = true;
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -329,6 +329,7 @@
   }
   workers_.clear();
   losing_.clear();
+  ended_well_.clear();
   moving_.clear();
   yielding_.clear();
   crash_times_.clear();
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -178,6 +178,10 @@
   bool is_near_end(const worker_view& it) const;
   void take_ends(worker_view& it, bool timely);
   void note_end(worker_view& it, const fleet::run_end& end);
+  // Ends of runs that were given up on: controller-late-ends.cc.
+  bool make_way(const fleet::run_end& end);
+  void recall(const run_key& run, const worker_id& worker);
+  void recall_if_ended(const run_key& run, const worker_id& worker);
   void note_refusals(worker_view& it, const fleet::worker_report& report);
   void avoid(worker_view& it, const char* cause);
   void pace_if_due(worker_view& it);
@@ -194,7 +198,6 @@
   bool answer_is_due(const worker_view& it) const;
   void answer(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
-  time_point order_ends_at(const worker_view& it) const;
   milliseconds interval_for(uint64_t calls_per_s) const;
   bool holds_calls() const;
   bool is_idle(const worker_view& it) const;
@@ -287,6 +290,8 @@
   fleet::command_batch batch_;
   // Losses proposed and not yet applied, by worker.
   std::map<worker_id, std::set<run_key>> losing_;
+  // Tasks of which a good end is listed while a start is proposed, since when.
+  std::map<task_key, time_point> ended_well_;
   // Runs that are being stopped so that their tasks run elsewhere.
   std::set<run_key> moving_;
   // Runs that are being stopped to make room for lasting tasks.
--- a/fleet/lagging-leader-test.cc
+++ b/fleet/lagging-leader-test.cc
@@ -79,7 +79,7 @@
   world.submit(7, {test_world::make_step(3)});
   uint64_t& taken_back =
       world.metrics.counter("kestrelreel_starts_taken_back_total");
-  world.pass(milliseconds(900));
+  world.pass(milliseconds(700));
   LONGS_EQUAL(0, taken_back);
   world.pass(milliseconds(200));
   LONGS_EQUAL(3, taken_back);
--- /dev/null
+++ b/fleet/late-end-test.cc
@@ -0,0 +1,51 @@
+// A worker that was given up on lists a good end after its task was placed
+// anew.
+#include <CppUTest/TestHarness.h>
+
+#include "fleet/fleet-test-world.h"
+
+using namespace kestrelreel;
+
+namespace {
+
+/// How far the later run's start has come when the end is listed.
+enum class later_start { proposed, kept };
+
+}  // namespace
+
+TEST_GROUP(late_end){};
+
+// The end was acknowledged, and the later run, which nobody had been sent yet,
+// began all the same.
+TEST(late_end, task_that_ended_well_is_not_sent_once_more) {
+  for (const later_start how : {later_start::proposed, later_start::kept}) {
+    test_world world;
+    world.configure(1, 99);
+    world.beat("a");
+    world.submit(1, {test_world::make_step(1)});
+    world.beat("a");
+    LONGS_EQUAL(1, world.workers["a"].running_size());
+    const fleet::task_ref task = world.workers["a"].running(0).task();
+    // It is not heard until its lease is over.
+    world.pass(milliseconds(4'300));
+    LONGS_EQUAL(0, world.controller.book().runs_on(worker_id("a")).size());
+    world.end("a", task, 1, fleet::run_done);
+    fleet::fleet_request call;
+    *call.mutable_beat() = world.next_heartbeat("b");
+    world.controller.request(call, [](const fleet::fleet_response&) {});
+    world.controller.settle();
+    CHECK_TRUE(!world.log.proposed.empty());
+    if (how == later_start::kept) {
+      // The call that waits at b is given up, so that nothing is sent.
+      world.clock.advance(milliseconds(1'000));
+      world.commit();
+      LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("b")).size());
+    }
+    world.beat("a");
+    world.beat("a");
+    LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
+    world.beat("b");
+    LONGS_EQUAL(0, world.workers["b"].running_size());
+    LONGS_EQUAL(0, world.workers["a"].ended_size());
+  }
+}
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -73,6 +73,9 @@
   /// How often a worker was looked at for a task since the last call.
   uint64_t take_looks() { return std::exchange(looks_, 0); }
 
+  /// True for a task of which a start is proposed and not yet in the book.
+  bool is_proposed(const task_key& task) const;
+
  private:
   /// A step whose tasks are being placed.
   struct step_to_place {
@@ -294,7 +297,6 @@
                             const std::vector<worker_view*>& all);
   bool bears_all(const worker_view& it) const;
   double expected_share(const worker_view& it, const step_to_place& step) const;
-  bool is_proposed(const task_key& task) const;
   // Lasting tasks that wait: waits.cc.
   std::optional<time_point> due_since(const job_entry& job,
                                       uint32_t time) const;
