--- a/fleet/controller-late-ends.cc
+++ b/fleet/controller-late-ends.cc
@@ -21,8 +21,7 @@
   const task_entry* task = book_.find(key);
   const fleet::step_spec* step = book_.find_step(key);
   if (end.outcome() != fleet::run_done || task == nullptr) return true;
-  // What another member's start or a new life of the task stands for is not
-  // told by this end.
+  // One member's end is not its gang's, and a task that lasts has no good end.
   if (step->gang() || step->long_running()) return true;
   if (task->phase == task_phase::waiting && scheduler_.is_proposed(key)) {
     ended_well_[key] = clock_.now();
