A good end counts in a heartbeat of which nothing else does

A new leader, which had the later-born one in its book, took w14's heartbeat 17 for a held-up one of a life that is over ("heartbeat-after-end ... sequence=17 ends=4") and left out the ends in it. w14 drained and was gone; another life at its place showed that ("worker-crashed ... known=no"), and 2c.0.0.0, one of the four ends, started again. Heartbeat 18 came late and was acknowledged: "end-not-counted ... outcome=run_done".

Whose life goes on decides on leases and orders. An end is keyed by its life and true in any case, so it now goes into the log as long as the book has runs of that life; it is not acknowledged by that. The same holds where a heartbeat without its base is asked for in whole: its ends are listed in full.

restarted_worker.good_end_of_a_life_in_doubt_counts fails without (the third life runs the task, "at the leader") and passes with it; restarted-worker 14 of 14.

--- a/fleet/controller-late-ends.cc
+++ b/fleet/controller-late-ends.cc
@@ -1,5 +1,5 @@
-// Good ends of runs that were given up on, while a later run of the task was
-// ordered nowhere yet: it never needs to begin.
+// Ends that come late, or in a heartbeat of which nothing else counts. A good
+// one counts while no later run of its task may have begun.
 #include "fleet/controller.h"
 #include "kernel/log.h"
 
@@ -13,6 +13,15 @@
 
 }  // namespace detail
 
+/// An end is true whether or not its worker's life goes on, and a worker that is
+/// gone lists it no more. It is not acknowledged by this.
+void fleet_controller::take_ends_of_unsure(const fleet::worker_beat& beat) {
+  worker_view* it = workers_.find(life_of(beat));
+  if (it == nullptr || it->over || losing_.contains(it->id)) return;
+  if (book_.runs_on(it->id).empty()) return;
+  take_ends(*it, beat.ended(), false);
+}
+
 /// Recalls a later run of the task, so that the end counts. False while that
 /// run's start is on its way into the log: the end, and what is listed after
 /// it, waits for the worker's next call.
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -84,6 +84,7 @@
         .with("worker", life.str())
         .with("sequence", beat.sequence())
         .with("ends", beat.ended_size());
+    take_ends_of_unsure(beat);
     return respond(make_response(fleet::fleet_ok, "over"));
   }
   const auto [it, timely, wants_whole, misfit] = workers_.heard(beat);
@@ -97,6 +98,7 @@
         .with("base", beat.base())
         .with("ends", beat.ended_size())
         .with("life", known ? "known" : "unknown");
+    take_ends_of_unsure(beat);
     fleet::fleet_response response = make_response(fleet::fleet_ok, "unknown");
     response.set_wants_whole(true);
     return respond(std::move(response));
@@ -111,7 +113,7 @@
   note_new_life(*it);
   note_unrecorded(*it);
   if (it->awaits_start) it->awaits_start = awaits_start(*it);
-  take_ends(*it, timely);
+  take_ends(*it, it->beat.ended(), timely);
   // Nobody waits for the answer of a late one any more.
   if (!timely) {
     ++late_beats_;
@@ -157,12 +159,13 @@
   return it.leaves || it.beat.draining() || it.first_told == it.told;
 }
 
-void fleet_controller::take_ends(worker_view& it, bool timely) {
+void fleet_controller::take_ends(worker_view& it, const listed_ends& ends,
+                                 bool timely) {
   const uint64_t known = std::max(book_.last_end(it.id), it.end_proposed);
   fleet::fleet_command command;
   fleet::worker_report& report = *command.mutable_report();
   report.set_worker(it.id.str());
-  for (const fleet::run_end& end : it.beat.ended()) {
+  for (const fleet::run_end& end : ends) {
     if (end.number() <= known) continue;
     if (!make_way(end)) break;
     *report.add_ends() = end;
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -176,9 +176,12 @@
   void note_overtaken(const fleet::worker_beat& beat, const worker_view& it);
   void note_new_life(const worker_view& it) const;
   bool is_near_end(const worker_view& it) const;
-  void take_ends(worker_view& it, bool timely);
+  using listed_ends = google::protobuf::RepeatedPtrField<fleet::run_end>;
+  void take_ends(worker_view& it, const listed_ends& ends, bool timely);
   void note_end(worker_view& it, const fleet::run_end& end);
-  // Ends of runs that were given up on: controller-late-ends.cc.
+  // Ends that come late or by a heartbeat that counts for nothing else:
+  // controller-late-ends.cc.
+  void take_ends_of_unsure(const fleet::worker_beat& beat);
   bool make_way(const fleet::run_end& end);
   void recall(const run_key& run, const worker_id& worker);
   void recall_if_ended(const run_key& run, const worker_id& worker);
--- a/fleet/restarted-worker-test.cc
+++ b/fleet/restarted-worker-test.cc
@@ -213,3 +213,26 @@
     }
   }
 }
+
+// A new leader took a living life for one that was over, read its good end,
+// left it out, and started the task again when that life was over.
+TEST(restarted_worker, good_end_of_a_life_in_doubt_counts) {
+  for (const row& it : rows) {
+    boxes all;
+    // The clock was set back between the two lives.
+    life first(all, it.calls_by, second_born, 500'000);
+    live_once(all, first);
+    life second(all, it.calls_by, first_born, it.clock_ms);
+    second.call_for(milliseconds(1'000));
+    submit(all, 4, 1);
+    second.call_for(milliseconds(200));
+    LONGS_EQUAL_TEXT(1, second.runs_of(4), it.name);
+    second.end_all();
+    all.elect(1);
+    LONGS_EQUAL_TEXT(0, second.call().hold_ms(), it.name);
+    life third(all, it.calls_by, second_born + 60'000, 1'000);
+    third.call_for(3 * soon);
+    LONGS_EQUAL_TEXT(0, third.runs_of(4), it.name);
+    LONGS_EQUAL_TEXT(fleet::job_succeeded, phase_of(all, 4), it.name);
+  }
+}
