A stopping box ends once nothing that arrived is unread

Cause: from 3 s on end_when_idle ended the process as soon as no request was under way, and a request counts as under way only once it was read in whole.

Now the process ends where, besides, no connection waits to be accepted, no socket has bytes to be read and no request is read in part (http_service:: is_quiet, one poll over all sockets right before the end). What comes between that poll and the close of the sockets, some microseconds, is still cut: HTTP has no way to tell a caller first. The stop's own time bounds the wait as before.

--- a/daemon/front-service.cc
+++ b/daemon/front-service.cc
@@ -72,9 +72,7 @@
   if (main_) main_->drain();
 }
 
-size_t front_service::under_way() const {
-  return main_ ? main_->under_way() : 0;
-}
+bool front_service::is_quiet() { return !main_ || main_->is_quiet(); }
 
 void front_service::stop() {
   if (main_) main_->close();
--- a/daemon/front-service.h
+++ b/daemon/front-service.h
@@ -29,8 +29,8 @@
 
   /// Answers under way go out; connections end after their next one.
   void drain();
-  /// Requests that wait for their answer.
-  size_t under_way() const;
+  /// True when a stop now cuts off no request, also none that is unread.
+  bool is_quiet();
 
  private:
   absl::Status start_entry(entry_gateway_service& gateway);
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -151,15 +151,16 @@
   end_when_idle();
 }
 
-/// An entry box serves on until the balancer has noticed and all answers are
-/// out.
+/// An entry box serves on until the balancer has noticed, all answers are out
+/// and nothing that arrived is unread: connections stay open meanwhile, and a
+/// request may come on each.
 void seeded_process::end_when_idle() {
   const bool control = context_.settings.role == seeded_role::control;
   const milliseconds least =
       control ? detail::control_stop : detail::balancer_notices;
   const milliseconds passed = context_.clock.now() - stop_began_;
-  const auto* front = registry_.find<front_service>(seeded_names::front);
-  const bool idle = passed >= least && front->under_way() == 0;
+  auto* front = registry_.find<front_service>(seeded_names::front);
+  const bool idle = passed >= least && front->is_quiet();
   const bool over = passed >= context_.settings.stop_time - detail::stop_margin;
   if (idle || over) return context_.io.stop();
   stop_timer_.expires_after(detail::idle_poll);
--- a/net/http-service-test.cc
+++ b/net/http-service-test.cc
@@ -83,6 +83,14 @@
     }
     return false;
   }
+  /// Whether it is quiet once what was written has arrived; nothing is read.
+  bool becomes(bool quiet) {
+    const auto end = std::chrono::steady_clock::now() + http_patience;
+    while (service->is_quiet() != quiet) {
+      if (std::chrono::steady_clock::now() >= end) return false;
+    }
+    return true;
+  }
   /// Sends the text and reads until the server ends the connection.
   void exchange(const std::string& text, bool closes = false) {
     got.clear();
@@ -196,3 +204,50 @@
   CHECK_TRUE(eventually([this] { return ended; }));
   STRCMP_EQUAL("504", statuses().c_str());
 }
+
+// A planned stop ended the process with a request in a socket, unread.
+TEST(http_service_answers, arrived_requests_are_served_before_a_stop_ends) {
+  struct {
+    const char* name;
+    std::string text;
+    bool accepted;
+    bool quiet;
+  } const rows[] = {
+      {"nothing sent", "", true, true},
+      {"a whole request", sound, true, false},
+      {"part of a request", sound.substr(0, 10), true, false},
+      {"a connection that waits to be accepted", "", false, false},
+      {"a request that waits with it", sound, false, false},
+  };
+  for (const auto& row : rows) {
+    CHECK_TRUE_TEXT(eventually([this] { return service->is_quiet(); }),
+                    row.name);
+    const auto socket = connect();
+    if (row.accepted) {
+      CHECK_TRUE_TEXT(eventually([this] { return service->is_quiet(); }),
+                      row.name);
+    }
+    boost::asio::write(*socket, boost::asio::buffer(row.text));
+    CHECK_TRUE_TEXT(becomes(row.quiet), row.name);
+    if (row.text != sound) continue;
+    service->drain();
+    got.clear();
+    ended = false;
+    read(*socket);
+    CHECK_TRUE(eventually([this] { return ended; }));
+    STRCMP_EQUAL_TEXT("504", statuses().c_str(), row.name);
+  }
+  CHECK_TRUE(eventually([this] { return service->is_quiet(); }));
+}
+
+// What is read in part is still to come.
+TEST(http_service_answers, request_read_in_part_is_waited_for_in_a_stop) {
+  const auto socket = connect();
+  boost::asio::write(*socket, boost::asio::buffer(sound.substr(0, 10)));
+  for (int i = 0; i < 5; ++i) io.run_one_for(std::chrono::milliseconds(20));
+  CHECK_FALSE(service->is_quiet());
+  boost::asio::write(*socket, boost::asio::buffer(sound.substr(10)));
+  read(*socket);
+  CHECK_TRUE(eventually([this] { return calls == 1; }));
+  CHECK_TRUE(eventually([this] { return service->is_quiet(); }));
+}
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -1,9 +1,12 @@
 #include "net/http-service.h"
 
+#include <poll.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "base/text.h"
 #include "kernel/log.h"
@@ -38,6 +41,7 @@
   }
 
   bool idle() const { return !busy_ && buffer_.size() == 0; }
+  int handle() { return stream_.socket().native_handle(); }
 
  private:
   static constexpr size_t most_at_once = 8'192;
@@ -194,6 +198,16 @@
 
 void http_service::drain() { draining_ = true; }
 
+bool http_service::is_quiet() {
+  if (under_way_ > 0) return false;
+  std::vector<pollfd> sockets{{acceptor_.native_handle(), POLLIN, 0}};
+  for (const auto& it : sessions_) {
+    if (!it->idle()) return false;
+    sockets.push_back({it->handle(), POLLIN, 0});
+  }
+  return ::poll(sockets.data(), sockets.size(), 0) == 0;
+}
+
 void http_service::close() {
   alive_.reset();
   boost::system::error_code ec;
--- a/net/http-service.h
+++ b/net/http-service.h
@@ -61,6 +61,9 @@
   void drain();
   /// Requests that wait for their answer.
   size_t under_way() const { return under_way_; }
+  /// True when no request waits for its answer, is read in part, or has
+  /// arrived and is not read yet: a close now cuts off none.
+  bool is_quiet();
   void close();
 
  private:
