A box that stops takes in the connections that wait to be accepted

It also dropped a connection whose acceptance was complete but not handled yet. Now drain() takes in what waits before it closes.

--- a/routing/caller-session-test.cc
+++ b/routing/caller-session-test.cc
@@ -206,3 +206,43 @@
     CHECK_EQUAL(0, world.runs());
   }
 }
+
+// A planned stop closed connections whose request had arrived and was unread.
+TEST(caller_session, arrived_requests_are_answered_in_a_stop) {
+  struct {
+    const char* name;
+    bool accepted;
+    bool before_the_stop;
+  } const rows[] = {
+      {"on a connection that waits to be accepted", false, true},
+      {"on an idle connection as its time ends", true, false},
+  };
+  for (const auto& row : rows) {
+    entry_world world({behaviour::answer});
+    tcp::socket socket(world.io);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                    world.server.port()});
+    const auto send = [&] {
+      boost::asio::write(socket, boost::asio::buffer(post()));
+    };
+    if (row.accepted) {
+      while (world.server.connections() == 0) world.io.run_one();
+      world.io.run_for(std::chrono::milliseconds(20));
+    }
+    if (row.before_the_stop) send();
+    bool drained = false;
+    world.server.drain(milliseconds(10), [&] { drained = true; });
+    if (!row.before_the_stop) {
+      // Its time is over and the request is there when the loop runs again.
+      const time_point due = world.clock.now() + milliseconds(20);
+      while (world.clock.now() < due) continue;
+      send();
+    }
+    world.io.restart();
+    while (!drained) world.io.run_one();
+    std::string got(1'000, '\0');
+    boost::system::error_code ec;
+    got.resize(socket.read_some(boost::asio::buffer(got), ec));
+    STRCMP_CONTAINS_TEXT("HTTP/1.1 200", got.c_str(), row.name);
+  }
+}
--- a/routing/entry-server.cc
+++ b/routing/entry-server.cc
@@ -64,18 +64,34 @@
   boost::asio::steady_timer pause(context_.io);
   for (;;) {
     auto [ec, socket] = co_await acceptor_.async_accept(detail::await);
+    if (!ec) admit(std::move(socket));
     if (!acceptor_.is_open()) co_return;
     if (ec) {
       // Out of file descriptors, say: wait for some to be closed.
       pause.expires_after(milliseconds(20));
       co_await pause.async_wait(detail::await);
-      continue;
     }
-    if (sessions_.size() >= max_connections_) continue;
-    boost::system::error_code ignored;
-    socket.set_option(detail::tcp::no_delay(true), ignored);
-    boost::asio::co_spawn(context_.io, serve(std::move(socket)),
-                          boost::asio::detached);
+  }
+}
+
+void entry_server::admit(detail::tcp::socket socket) {
+  if (open_ >= max_connections_) return;
+  boost::system::error_code ignored;
+  socket.set_option(detail::tcp::no_delay(true), ignored);
+  ++open_;
+  boost::asio::co_spawn(context_.io, serve(std::move(socket)),
+                        boost::asio::detached);
+}
+
+/// Takes in the connections that callers have already: a close would reset
+/// them, with their requests.
+void entry_server::accept_waiting() {
+  boost::system::error_code ec;
+  acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    detail::tcp::socket socket(context_.io);
+    acceptor_.accept(socket, ec);
+    if (!ec) admit(std::move(socket));
   }
 }
 
@@ -84,16 +100,17 @@
   sessions_.insert(&session);
   co_await session.run();
   sessions_.erase(&session);
-  if (sessions_.empty() && drained_) std::exchange(drained_, nullptr)();
+  if (--open_ == 0 && drained_) std::exchange(drained_, nullptr)();
 }
 
 void entry_server::drain(milliseconds idle_wait,
                          std::function<void()> drained) {
+  accept_waiting();
   boost::system::error_code ec;
   acceptor_.close(ec);
   context_.stopping = true;
   drained_ = std::move(drained);
-  if (sessions_.empty()) return std::exchange(drained_, nullptr)();
+  if (open_ == 0) return std::exchange(drained_, nullptr)();
   idle_timer_.expires_after(idle_wait);
   idle_timer_.async_wait([this](boost::system::error_code stopped) {
     if (stopped) return;
--- a/routing/entry-server.h
+++ b/routing/entry-server.h
@@ -34,10 +34,12 @@
   /// The port that it listens on; of use after a start on port 0.
   uint16_t port() const;
   /// Connections open now.
-  uint64_t connections() const { return sessions_.size(); }
+  uint64_t connections() const { return open_; }
 
  private:
   boost::asio::awaitable<void> accept();
+  void accept_waiting();
+  void admit(boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
   entry_context& context_;
@@ -45,6 +47,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer idle_timer_;
   std::set<caller_session*> sessions_;
+  // Connections that were accepted, also those whose session is to begin.
+  uint64_t open_ = 0;
   std::function<void()> drained_;
 };
 
