The only suspect counts as such under a leader that never heard its worker

A leader that had heard the worker holds 3 against it.

Of a worker that this leader never heard the log tells which runs were ordered and not listed. Those are weighed like the unlisted ones of a worker that it heard: 3 where it is one, 2 where they are several; "no other worker crashed" is not known, so never 4.

--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -31,21 +31,32 @@
   return others_crashed ? evidence_as_only_one : evidence_as_only_cause;
 }
 
-/// Of a worker that only an earlier leader heard it is known what was recorded
-/// of suspects.
-uint32_t weigh_unheard(const run_key& run, const job_book& book) {
+/// True for a run that its worker was ordered, by the record, and may have
+/// begun without living to list it.
+bool may_have_crashed(const run_key& run, const job_book& book) {
   const crash_record crash = book.crash_of(run.task);
-  if (crash.crashes == 0 || crash.listed >= run.run)
-    return evidence_once_listed;
-  return crash.ordered >= run.run ? evidence_in_company : 0;
+  return crash.crashes > 0 && crash.ordered >= run.run &&
+         crash.listed < run.run;
 }
 
+/// Of a worker that only an earlier leader heard it is known what was recorded
+/// of suspects. No other worker is known to have crashed with it or not.
 std::vector<crash_finding> examine_unheard(const std::set<run_key>& runs,
                                            const job_book& book) {
+  std::vector<run_key> suspects;
+  for (const run_key& run : runs) {
+    if (may_have_crashed(run, book)) suspects.push_back(run);
+  }
+  const uint32_t evidence = weigh(suspects, book, true);
   std::vector<crash_finding> out;
   out.reserve(runs.size());
   for (const run_key& run : runs) {
-    out.push_back({run, weigh_unheard(run, book), false});
+    const crash_record crash = book.crash_of(run.task);
+    const bool says_little = crash.crashes == 0 || crash.listed >= run.run;
+    const bool ordered = may_have_crashed(run, book);
+    out.push_back(
+        {run, says_little ? evidence_once_listed : ordered ? evidence : 0,
+         false});
   }
   return out;
 }
--- a/fleet/crashing-giver-test.cc
+++ b/fleet/crashing-giver-test.cc
@@ -46,6 +46,10 @@
       {"thrice, lasting", true, dying(3, 10, 10)},
       {"thrice before the crash", false, dying(3, 10, 300)},
       {"thrice while the worker is silent", false, dying(3, 1'000, 300)},
+      {"with each start, before the crash", false, dying(9, 10, 300)},
+      {"after each start is recorded", false, dying(9, 400, 10)},
+      {"while each worker is silent", false, dying(9, 1'000, 10)},
+      {"as each worker is back", false, dying(9, 4'000, 10)},
   };
   const auto add = [&](const char* name) -> auto& {
     out.push_back({name, false, dying(3, 10, 10)});
