A task under which one worker crashed is kept apart from the first crash on

Now a task is a suspect from its first counted crash on, whatever that says: an innocent one is cleared by its next start. More suspects come up at once after a crash of many workers, and each looked at all workers; a suspect now looks at up to 128 that may take it, in turn, so that the cost goes with the suspects.

--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -281,7 +281,7 @@
 }
 
 bool job_book::is_suspect(const task_key& task) const {
-  return crash_of(task).evidence >= crash_suspicion;
+  return crash_of(task).crashes > 0;
 }
 
 void job_book::note_sighting(const fleet::run_sighting& it) {
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -71,10 +71,8 @@
   }
 };
 
-/// With so much evidence a task is taken to crash each worker that starts it,
-/// and with less it is tried apart from others.
+/// With so much evidence a task is taken to crash each worker that starts it.
 constexpr uint32_t crash_evidence_limit = 8;
-constexpr uint32_t crash_suspicion = 2;
 
 /// The state. Only `apply` and `load` change it.
 class job_book {
@@ -141,7 +139,8 @@
   /// Tasks, and gangs by their first task, under which a worker crashed, and
   /// that have not worked since.
   const std::set<task_key>& suspects() const { return suspects_; }
-  /// True where that is enough to keep the task apart from others.
+  /// True for one of them, or a member of its gang: it is tried apart from
+  /// others.
   bool is_suspect(const task_key& task) const;
   /// What is held against the task, or its gang.
   crash_record crash_of(const task_key& task) const;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -260,6 +260,9 @@
   bool has_interrupted(const task_key& first) const;
   bool awaits_fate(const task_key& key, const task_entry& task) const;
   static bool is_trying(const worker_view& it, const step_to_place& step);
+  std::optional<double> value_for_suspect(const step_to_place& step,
+                                          const worker_view& it,
+                                          std::optional<double> least) const;
   std::optional<size_t> place_for_suspect(const step_to_place& step,
                                           const std::vector<worker_view*>& all);
   pool_use& use_of(const std::string& pool);
@@ -369,6 +372,8 @@
   // Looks that the present plan may still make.
   uint64_t looks_left_ = 0;
   bool cut_short_ = false;
+  // Workers that were looked at for suspects: the next look goes on from there.
+  size_t suspect_looks_ = 0;
   bool only_open_ = false;
   unsigned stretch_percent_ = 100;
   // Tasks whose start is proposed and not yet in the book.
--- a/fleet/suspects.cc
+++ b/fleet/suspects.cc
@@ -14,6 +14,8 @@
 /// What runs there would be lost with a crash: above any room that is left
 /// over.
 constexpr double company_cost = 20'000;
+/// Of so many workers that may take a suspect one has little to lose.
+constexpr size_t enough_looks = 128;
 /// How long a suspect waits after its lease to know how its worker ended.
 constexpr milliseconds fate_wait{1'500};
 
@@ -85,26 +87,41 @@
   return it.tries && !(step.spec.gang() && *it.tries == step.first);
 }
 
-/// Which of the workers is the best one for a suspect, if any is.
+/// How well a suspect would stand on a worker; none where it must not run, or
+/// where that is no better than `least`.
+std::optional<double> fleet_scheduler::value_for_suspect(
+    const step_to_place& step, const worker_view& it,
+    std::optional<double> least) const {
+  auto value = value_of(step, it);
+  if (!value) return std::nullopt;
+  *value -= detail::company_cost * static_cast<double>(it.rows.size());
+  // What runs there is looked at only where it may decide.
+  if (least && *value <= *least) return std::nullopt;
+  if (has_unproven(it) && it.tries != step.first) {
+    *value -= detail::unproven_cost;
+  }
+  if (least && *value <= *least) return std::nullopt;
+  return value;
+}
+
+/// Which worker is a good one for a suspect, if any may take it. After a crash
+/// of many workers there are suspects as many as these: each looks at some, in
+/// turn.
 std::optional<size_t> fleet_scheduler::place_for_suspect(
     const step_to_place& step, const std::vector<worker_view*>& all) {
   std::optional<size_t> best;
-  double most = 0;
-  count_looks(all.size());
-  for (size_t i = 0; i < all.size(); ++i) {
-    const worker_view& it = *all[i];
-    auto value = value_of(step, it);
+  std::optional<double> most;
+  size_t looks = 0;
+  for (; looks < all.size() && (!best || looks < detail::enough_looks);
+       ++looks) {
+    const size_t i = (suspect_looks_ + looks) % all.size();
+    const auto value = value_for_suspect(step, *all[i], most);
     if (!value) continue;
-    *value -= detail::company_cost * static_cast<double>(it.rows.size());
-    // What runs there is looked at only where it may decide.
-    if (best && *value <= most) continue;
-    if (has_unproven(it) && it.tries != step.first) {
-      *value -= detail::unproven_cost;
-    }
-    if (best && *value <= most) continue;
     best = i;
-    most = *value;
+    most = value;
   }
+  suspect_looks_ += looks;
+  count_looks(looks);
   return best;
 }
 
