A suspect's order is in the log before its worker is told of it

Cause, by the log of the users' run: the leader of term 7 sent run 5 to i-6-1 and was killed within the tick (the strike `power` hit it then). How far a suspect's run came was recorded with the next tick only, so that the next leader found no order of it ("worker-crashed worker=i-6-1 known=no suspects="" evidence=0").

Now a suspect's start goes into an answer only once the log has that it may be ordered; the call waits for that as it waits for the start itself. The record is asked for in the turn in which the start is known, one round of the log later than before, and for suspects alone.

--- a/fleet/controller-crashes.cc
+++ b/fleet/controller-crashes.cc
@@ -90,6 +90,50 @@
   return std::nullopt;
 }
 
+bool fleet_controller::order_is_recorded(const run_key& run) const {
+  const crash_record crash = book_.crash_of(run.task);
+  return crash.crashes == 0 || crash.ordered >= run.run;
+}
+
+/// A suspect's start is ordered once the log tells that it may have been: the
+/// leader may be gone by the time that the worker crashes. False while a record
+/// is on its way.
+bool fleet_controller::record_orders(worker_view& it) {
+  if (book_.suspects().empty()) return true;
+  bool recorded = true;
+  for (const run_key& run : starts_for(it)) {
+    if (order_is_recorded(run)) continue;
+    recorded = false;
+    record_progress({book_.record_key(run.task), run.run}, it.id,
+                    fleet::run_ordered);
+  }
+  return recorded;
+}
+
+void fleet_controller::record_all_orders() {
+  if (book_.suspects().empty()) return;
+  workers_.marks().calling.review([this](worker_view& it) {
+    if (it.respond) record_orders(it);
+    return true;
+  });
+}
+
+/// Tells the log of the suspect's run unless it was told as much before.
+void fleet_controller::record_progress(const run_key& run,
+                                       const worker_id& worker,
+                                       fleet::run_progress progress) {
+  const auto [told, fresh] = sightings_.try_emplace(run, progress);
+  if (!fresh && told->second >= progress) return;
+  told->second = progress;
+  fleet::fleet_command command;
+  command.mutable_report()->set_worker(worker.str());
+  fleet::run_sighting& seen = *command.mutable_report()->add_sightings();
+  *seen.mutable_task() = to_ref(run.task);
+  seen.set_run(static_cast<uint32_t>(run.run.value()));
+  seen.set_progress(progress);
+  add_command(std::move(command));
+}
+
 /// The next leader must know how far a suspect came: else it takes any end of
 /// its worker for another crash under the task, or for none.
 void fleet_controller::review_suspects() {
@@ -103,17 +147,7 @@
     if (it == nullptr) continue;
     const run_key run{key, task.run};
     const auto progress = progress_of(run, *it);
-    if (!progress) continue;
-    const auto [told, fresh] = sightings_.try_emplace(run, *progress);
-    if (!fresh && told->second >= *progress) continue;
-    told->second = *progress;
-    fleet::fleet_command command;
-    command.mutable_report()->set_worker(it->id.str());
-    fleet::run_sighting& seen = *command.mutable_report()->add_sightings();
-    *seen.mutable_task() = to_ref(key);
-    seen.set_run(static_cast<uint32_t>(task.run.value()));
-    seen.set_progress(*progress);
-    add_command(std::move(command));
+    if (progress) record_progress(run, it->id, *progress);
   }
 }
 
--- a/fleet/controller-late-ends.cc
+++ b/fleet/controller-late-ends.cc
@@ -13,8 +13,8 @@
 
 }  // namespace detail
 
-/// An end is true whether or not its worker's life goes on, and a worker that is
-/// gone lists it no more. It is not acknowledged by this.
+/// An end is true whether or not its worker's life goes on, and a worker that
+/// is gone lists it no more. It is not acknowledged by this.
 void fleet_controller::take_ends_of_unsure(const fleet::worker_beat& beat) {
   worker_view* it = workers_.find(life_of(beat));
   if (it == nullptr || it->over || losing_.contains(it->id)) return;
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -82,13 +82,15 @@
       .with("told-ms-ago", (clock_.now() - it.told).count());
 }
 
-bool fleet_controller::answer_is_due(const worker_view& it) const {
+bool fleet_controller::answer_is_due(const worker_view& it,
+                                     bool recorded) const {
   // A start that is proposed late in a hold needs the log's time, too.
   const milliseconds wait = it.was_held
                                 ? settings_.call_hold + detail::held_extra
                                 : settings_.answer_wait;
   if (clock_.now() - it.asked >= wait) return true;
-  return it.proposed.empty() && it.end_proposed <= book_.last_end(it.id);
+  return recorded && it.proposed.empty() &&
+         it.end_proposed <= book_.last_end(it.id);
 }
 
 /// A worker that has turned elsewhere would be granted and ordered nothing.
@@ -120,7 +122,8 @@
   }
   workers_.marks().calling.review([&](worker_view& it) {
     if (!it.respond || give_up_late(it)) return false;
-    if (answer_is_due(it)) due.push_back(&it);
+    const bool recorded = record_orders(it);
+    if (answer_is_due(it, recorded)) due.push_back(&it);
     return true;
   });
   const size_t most = settings_.most_answers * leader_lag::usual_percent /
@@ -267,19 +270,28 @@
   it.lists_unrecorded = any;
 }
 
-/// A start goes out again with each answer until the worker lists the run.
-void fleet_controller::add_starts(worker_view& it,
-                                  fleet::worker_orders& orders) {
+/// The starts that an answer given now would bring: those that the worker does
+/// not list yet.
+std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // While runs there are being given up on, none of them may begin after all.
-  if (!takes_starts(it) || losing_.contains(it.id)) return;
+  if (!takes_starts(it) || losing_.contains(it.id)) return {};
   // An order in an answer that its worker drops holds room for nothing until
   // its next call; one that was sent in none can be taken back.
-  if (lag_.behind() && !scheduler_.is_open(it)) return;
-  if (is_overfull(it)) return;
+  if (lag_.behind() && !scheduler_.is_open(it)) return {};
+  if (is_overfull(it)) return {};
+  std::vector<run_key> out;
   for (const run_key& run : book_.runs_on(it.id)) {
-    if (it.rows.contains(run) || lists_end(it, run) || should_stop(run)) {
-      continue;
-    }
+    const bool over = lists_end(it, run) || should_stop(run);
+    if (!over && !it.rows.contains(run)) out.push_back(run);
+  }
+  return out;
+}
+
+/// A start goes out again with each answer until the worker lists the run.
+void fleet_controller::add_starts(worker_view& it,
+                                  fleet::worker_orders& orders) {
+  for (const run_key& run : starts_for(it)) {
+    if (!order_is_recorded(run)) continue;
     const task_entry& task = *book_.find(run.task);
     fleet::start_order& start = *orders.add_starts();
     *start.mutable_task() = to_ref(run.task);
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -377,7 +377,10 @@
   if (!leads_) return;
   ++load_.turns;
   const bool decides = log_.may_decide();
-  if (decides) plan();
+  if (decides) {
+    plan();
+    record_all_orders();
+  }
   note_looks();
   flush();
   if (!decides) return;
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -198,7 +198,7 @@
   std::vector<worker_view*> due_answers();
   bool give_up_late(worker_view& it);
   bool awaits_start(const worker_view& it) const;
-  bool answer_is_due(const worker_view& it) const;
+  bool answer_is_due(const worker_view& it, bool recorded) const;
   void answer(worker_view& it);
   milliseconds next_beat(const worker_view& it) const;
   milliseconds interval_for(uint64_t calls_per_s) const;
@@ -207,6 +207,7 @@
   bool hold_call(worker_view& it);
   fleet::worker_orders orders_for(worker_view& it);
   void log_orders(worker_view& it, const fleet::worker_orders& orders) const;
+  std::vector<run_key> starts_for(worker_view& it);
   void add_starts(worker_view& it, fleet::worker_orders& orders);
   void add_stops(worker_view& it, fleet::worker_orders& orders);
   void add_paces(worker_view& it, fleet::worker_orders& orders);
@@ -258,6 +259,11 @@
                     fleet::worker_loss& loss);
   std::optional<fleet::run_progress> progress_of(const run_key& run,
                                                  const worker_view& it) const;
+  bool order_is_recorded(const run_key& run) const;
+  bool record_orders(worker_view& it);
+  void record_all_orders();
+  void record_progress(const run_key& run, const worker_id& worker,
+                       fleet::run_progress progress);
   void review_suspects();
   void note_given_up(const job_book::result& result);
   void add_places(fleet::run_starts& starts) const;
--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -54,9 +54,11 @@
     const crash_record crash = book.crash_of(run.task);
     const bool says_little = crash.crashes == 0 || crash.listed >= run.run;
     const bool ordered = may_have_crashed(run, book);
-    out.push_back(
-        {run, says_little ? evidence_once_listed : ordered ? evidence : 0,
-         false});
+    out.push_back({run,
+                   says_little ? evidence_once_listed
+                   : ordered   ? evidence
+                               : 0,
+                   false});
   }
   return out;
 }
--- a/fleet/crashing-test-world.h
+++ b/fleet/crashing-test-world.h
@@ -280,6 +280,8 @@
     if (givers_died_ < settings_.givers_that_die) {
       ++givers_died_;
       leader_changes_at_ = all.clock.now() + settings_.giver_dies_after;
+      // Nothing more is recorded by one that is gone at once.
+      change_leader_if_due();
     }
     constexpr int most_crashes = 3;
     if (crashes_of[run.task]++ >= most_crashes) ++late_starts;
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -267,7 +267,6 @@
   ++step.done;
 }
 
-/// The task that keeps the record of crashes.
 task_key job_book::record_key(const task_key& task) const {
   const fleet::step_spec* step = find_step(task);
   const bool gang = step != nullptr && step->gang();
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -142,6 +142,8 @@
   /// True for one of them, or a member of its gang: it is tried apart from
   /// others.
   bool is_suspect(const task_key& task) const;
+  /// The task that keeps the record of crashes: a gang's first one.
+  task_key record_key(const task_key& task) const;
   /// What is held against the task, or its gang.
   crash_record crash_of(const task_key& task) const;
   /// Runs that were given up on as their worker fell silent, and since which
@@ -178,7 +180,6 @@
                      const fleet::step_spec& spec);
   static void save_gang(step_entry& step, run_number run,
                         const std::string& saved);
-  task_key record_key(const task_key& task) const;
   void clear_crashes(const run_key& run);
   void note_sighting(const fleet::run_sighting& it);
   void count_crash(const run_key& run, uint32_t evidence, result& out);
--- a/routing/caller-session-test.cc
+++ b/routing/caller-session-test.cc
@@ -220,8 +220,8 @@
   for (const auto& row : rows) {
     entry_world world({behaviour::answer});
     tcp::socket socket(world.io);
-    socket.connect({boost::asio::ip::make_address("127.0.0.1"),
-                    world.server.port()});
+    socket.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), world.server.port()});
     const auto send = [&] {
       boost::asio::write(socket, boost::asio::buffer(post()));
     };
