What a leader noted in an earlier term does not stand in a later one

leads(true) now goes by the term: a later one begins from nothing.

controller_leases.what_an_earlier_term_left_unsent_is_not_taken_back fails without (0 runs, 1 expected) and passes with it.

--- a/fleet/controller-leases-test.cc
+++ b/fleet/controller-leases-test.cc
@@ -140,3 +140,17 @@
   for (int i = 1; i < 4'000; ++i) world.beat("w" + std::to_string(i));
   LONGS_EQUAL(1'000, world.beat("w0").next_beat_ms());
 }
+
+// A leader that was held up while another one led took a start that the other
+// one had sent for one that was sent in no answer, and placed its task anew.
+TEST(controller_leases, what_an_earlier_term_left_unsent_is_not_taken_back) {
+  world.configure();
+  world.beat("a");
+  world.submit(7, {test_world::make_step(1)});
+  LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("a")).size());
+  // The one in between ordered it; nothing told this box that it led.
+  world.log.leader_term += 2;
+  world.controller.leads(true);
+  world.pass(milliseconds(1'500));
+  LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("a")).size());
+}
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -304,6 +304,8 @@
 }
 
 void fleet_controller::leads(bool now) {
+  // Another box may have led between two terms of this one.
+  if (now && leads_ && log_.term() != led_term_) leads(false);
   if (now == leads_) return;
   leads_ = now;
   // What was never handed to the log cannot be committed.
@@ -335,8 +337,9 @@
   crash_times_.clear();
   sightings_.clear();
   if (!leads_) return;
+  led_term_ = log_.term();
   // Tokens of an earlier leadership of this box must never match.
-  next_token_ = log_.term().value() << 32U;
+  next_token_ = led_term_.value() << 32U;
   for (const auto& [id, runs] : book_.runs()) workers_.expect(id);
   for (const auto& [id, end] : book_.workers()) workers_.expect(id);
   learn_places();
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -104,7 +104,8 @@
   void applied(const fleet::fleet_command& command);
   /// The state of a snapshot replaces all; on every replica.
   absl::Status installed(const std::string& bytes);
-  /// Leadership came or went.
+  /// Whether this box leads, as often as it is asked; nothing that it noted in
+  /// an earlier term stands.
   void leads(bool now);
   /// Decides what the events since the last call allow.
   void settle();
@@ -272,6 +273,7 @@
                                    const std::vector<run_key>& runs) const;
   uint64_t failures_of(const std::vector<run_key>& runs) const;
   void review_leaves();
+  void note_survivor(const worker_view& it, const worker_view& next) const;
   void review_restarts();
   void review_pace_of_reading();
   bool reads_on() const;
@@ -290,6 +292,8 @@
   worker_table workers_;
   fleet_scheduler scheduler_;
   bool leads_ = false;
+  // Of its leadership, the present or the last one.
+  term_number led_term_;
   bool unsettled_ = false;
   uint64_t next_token_ = 1;
   std::map<uint64_t, respond_function> waiting_;
