Only a life that got answers shows that the one before it is over

Cause, by the new line life-outlived: "worker=w19 known=yes silent-ms=2000 by=w17 heard-for-ms=5180 own-ms=1000" and "worker=w34 silent-ms=2000 by=w19 heard-for-ms=1780 own-ms=2000". The lives that were taken for newer ones were the earlier ones: their heartbeats, each sent after a second without an answer, were held up and came one after the other at a leader that had never heard them, after the living one's last call.

Such calls lie the answer limit (1 s) or a multiple of it apart by the worker's own clock. One that follows its predecessor sooner had an answer, and a life that is over gets none. So a life outlives another one only once it was seen to be answered: two calls in a row that lie less than a second apart, or no less than the pause that it was told where that is about as long. At 200 to 300 ms that is its second call, so that nothing is later for it; told pauses of 0.85 to 1 s (1,700 to 2,000 idle workers, 3,400 to 4,000 busy ones) can't be told from the limit and are judged as before.

over_life.calls_that_got_no_answer_end_no_life_at_their_place fails without (0 runs, 1 expected) and passes with it; ...after_answers_... holds both ways.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -41,27 +41,37 @@
 constexpr std::chrono::microseconds unstarted_pause{400};
 /// True when `o` shows that the life of `it`, at the same place, is over: a
 /// heartbeat of an earlier life may arrive after the next one began, even
-/// several at once after a cut. Only a worker that has called for a while, by
-/// our clock and by its own, and since the other fell silent, lives.
+/// several after a cut, seconds apart. Only a worker that got answers lives,
+/// and that has called for a while, by our clock and by its own, and since the
+/// other fell silent.
 bool outlives(const worker_view& o, const worker_view& it,
               milliseconds patience) {
   const milliseconds least = sure_life + patience;
   const milliseconds own_clock(
       static_cast<int64_t>(o.beat.clock_ms() - o.first_clock_ms));
-  return o.id != it.id && o.told > it.told && o.first_told > it.first_told &&
+  return o.answered && o.id != it.id && o.told > it.told &&
+         o.first_told > it.first_told &&
          o.told - std::max(o.first_told, it.told) >= least &&
          own_clock >= least;
 }
 
-bool is_replaced(const worker_table& workers, const worker_view& it,
-                 milliseconds patience) {
-  const auto outlived_at = [&](const std::string& place) {
-    const auto& all = workers.at_place(place);
-    return std::any_of(all.begin(), all.end(), [&](const worker_view* other) {
-      return outlives(*other, it, patience);
-    });
-  };
-  return outlived_at(it.beat.machine()) || outlived_at(it.beat.address());
+/// The first of them that outlives `it`; null where none does.
+const worker_view* find_survivor(const std::vector<worker_view*>& all,
+                                 const worker_view& it, milliseconds patience) {
+  const auto found =
+      std::find_if(all.begin(), all.end(), [&](const worker_view* other) {
+        return !other->over && outlives(*other, it, patience);
+      });
+  return found == all.end() ? nullptr : *found;
+}
+
+const worker_view* find_replacement(const worker_table& workers,
+                                    const worker_view& it,
+                                    milliseconds patience) {
+  const worker_view* found =
+      find_survivor(workers.at_place(it.beat.machine()), it, patience);
+  if (found != nullptr) return found;
+  return find_survivor(workers.at_place(it.beat.address()), it, patience);
 }
 
 }  // namespace detail
@@ -176,6 +186,20 @@
                                       : milliseconds(0);
 }
 
+/// What the belief rests on that a life is over.
+void fleet_controller::note_survivor(const worker_view& it,
+                                     const worker_view& next) const {
+  const time_point now = clock_.now();
+  log_event(detail::service_name, log_level::info, "life-outlived")
+      .with("worker", it.id.str())
+      .with("known", it.known ? "yes" : "no")
+      .with("silent-ms", (now - it.told).count())
+      .with("by", next.id.str())
+      .with("heard-for-ms", (next.told - next.first_told).count())
+      .with("own-ms", next.beat.clock_ms() - next.first_clock_ms)
+      .with("last-heard-ms", (now - next.told).count());
+}
+
 /// A worker lives once: what ran in a life that another one outlives is over,
 /// and no lease is waited for, so that a serving task is away for 1 s after its
 /// worker is back, not for 7. Births do not tell which life is over: they are
@@ -186,11 +210,9 @@
     const std::vector<worker_view*>& lives = workers_.lives_of(name);
     for (worker_view* it : lives) {
       if (losing_.contains(it->id)) continue;
-      const bool over =
-          std::any_of(lives.begin(), lives.end(), [&](const worker_view* o) {
-            return !o->over && detail::outlives(*o, *it, patience());
-          });
-      if (!over) continue;
+      const worker_view* next = detail::find_survivor(lives, *it, patience());
+      if (next == nullptr) continue;
+      note_survivor(*it, *next);
       const auto& alive = book_.runs_on(it->id);
       propose_loss(*it, {alive.begin(), alive.end()}, loss_cause::restarted);
     }
@@ -217,8 +239,13 @@
     }
     // One that this leader never heard may be about to call.
     const bool silent = it.known || now - led_since_ >= detail::dead_after;
-    if (silent && detail::is_replaced(workers_, it, patience())) {
-      cause = loss_cause::replaced;
+    if (silent) {
+      const worker_view* next =
+          detail::find_replacement(workers_, it, patience());
+      if (next != nullptr) {
+        note_survivor(it, *next);
+        cause = loss_cause::replaced;
+      }
     }
     const bool lapsed = over && !alive.empty();
     if (cause == loss_cause::lease && !lapsed) continue;
@@ -255,7 +282,9 @@
 }
 
 /// A run that must not start any more, and that its worker does not list long
-/// after the last order for it, is over.
+/// after the last order for it, is over. The first heartbeats that a leader
+/// gets may be from before it led: until the worker is known to get its
+/// answers, how old they are is not known.
 void fleet_controller::review_unstarted(worker_view& it) {
   if (!it.known || losing_.contains(it.id)) return;
   const milliseconds sure =
--- a/fleet/over-life-test.cc
+++ b/fleet/over-life-test.cc
@@ -37,6 +37,20 @@
     request.set_worker_leaves(worker);
     world.ask(request);
   }
+  /// Three calls of another life, so far apart by its own clock, while one with
+  /// a run is silent.
+  void call_beside_a_run(int64_t own_apart) {
+    world.configure();
+    call("live", 5'000);
+    world.submit(7, {test_world::make_step(1)});
+    call("live", 5'100);
+    LONGS_EQUAL(1, runs_at("live"));
+    world.pass(milliseconds(300));
+    for (int i = 0; i < 3; ++i) {
+      call("other", 900'000 + own_apart * i);
+      world.pass(milliseconds(900));
+    }
+  }
   size_t runs_at(const std::string& worker) {
     return world.controller.book().runs_on(worker_id(worker)).size();
   }
@@ -61,6 +75,20 @@
   }
 }
 
+// Heartbeats of the life before, each of which had waited for an answer in vain
+// and was held up, passed for a life that had taken the place.
+TEST(over_life, calls_that_got_no_answer_end_no_life_at_their_place) {
+  constexpr int64_t answer_limit = 1'000;
+  call_beside_a_run(answer_limit);
+  LONGS_EQUAL(1, runs_at("live"));
+}
+
+TEST(over_life, calls_after_answers_end_the_life_before_at_their_place) {
+  constexpr int64_t sooner = 900;
+  call_beside_a_run(sooner);
+  LONGS_EQUAL(0, runs_at("live"));
+}
+
 TEST(over_life, held_up_heartbeats_do_not_bring_a_life_back) {
   world.configure();
   call("a", 5'000);
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds remember_life{60'000};
 /// Bounds the memory; each of 1,100 workers may end nearly twice in that time.
 constexpr size_t most_lives = 2'048;
+/// How much later than its answer told a worker's call may be sent.
+constexpr milliseconds call_slack{150};
 
 }  // namespace detail
 
@@ -180,6 +182,19 @@
   return timely;
 }
 
+/// A call that got no answer is followed by one after the answer limit, by the
+/// worker's own clock. One that follows sooner had an answer, or one that came
+/// no sooner than a long pause said.
+bool worker_table::shows_answer(const worker_view& it,
+                                const fleet::worker_beat& next) const {
+  if (!it.known || next.sequence() != it.beat.sequence() + 1) return false;
+  const milliseconds own(
+      static_cast<int64_t>(next.clock_ms() - it.beat.clock_ms()));
+  if (own < leases_.answer_limit) return true;
+  return it.pause + detail::call_slack >= leases_.answer_limit &&
+         own >= it.pause;
+}
+
 void worker_table::take_whole(worker_view& it, const fleet::worker_beat& beat) {
   it.beat = beat;
   it.beat.clear_running();
@@ -234,6 +249,7 @@
   }
   worker_view& it = view_of(id);
   const time_point now = clock_.now();
+  it.answered = it.answered || shows_answer(it, beat);
   const bool timely = is_timely(it, beat);
   if (!differs) {
     take_place(it, beat);
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -167,8 +167,13 @@
   bool was_held = false;
   /// Its last answer ordered starts; until a heartbeat lists them all.
   bool awaits_start = false;
-  /// When it is to call next, by its last answer; 0 before the first one.
+  /// When it is to call next, by its last answer, and how long after it; 0
+  /// before the first one.
   time_point call_due{};
+  milliseconds pause{0};
+  /// It called as only one does that got an answer from here: its calls are no
+  /// held-up ones of a life that is over.
+  bool answered = false;
   /// Least difference of its clock to ours so far: how long ago a heartbeat
   /// was sent is told by how much this one differs.
   int64_t clock_offset = INT64_MAX;
@@ -245,9 +250,12 @@
   void granted(worker_view& it, milliseconds pause) {
     it.over_at = it.heard + leases_.over_after();
     it.call_due = clock_.now() + pause;
+    it.pause = pause;
   }
 
  private:
+  bool shows_answer(const worker_view& it,
+                    const fleet::worker_beat& next) const;
   bool is_timely(worker_view& it, const fleet::worker_beat& beat) const;
   static void take_whole(worker_view& it, const fleet::worker_beat& beat);
   static bool take_difference(worker_view& it, const fleet::worker_beat& beat);
