A run is missed only in heartbeats whose age is known

The leader of a later term heard nothing of w30 before, so that it took the heartbeat for a fresh one; it does not list the run, which was given up on 1.5 s after the leader had begun. The run ended well meanwhile, a second one had been recorded, and both ends were counted as the log's order had it.

How late a worker's heartbeats are is told from its quickest one. Until a leader has seen that one of its answers got there, none is known to be quick: only from then on is a run given up on that a heartbeat does not list.

controller_leases.run_is_not_missed_in_a_heartbeat_of_unknown_age fails without (0 runs, 1 expected) and passes with it.

--- a/fleet/controller-leases-test.cc
+++ b/fleet/controller-leases-test.cc
@@ -154,3 +154,23 @@
   world.pass(milliseconds(1'500));
   LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("a")).size());
 }
+
+// A heartbeat from before the run began, held up until another box led, passed
+// for one that should list it: the run was given up on while it went on.
+TEST(controller_leases, run_is_not_missed_in_a_heartbeat_of_unknown_age) {
+  run_one();
+  fleet::worker_beat before = world.workers["a"];
+  before.clear_running();
+  // What lacks room for the run is not sent it again.
+  before.set_cpu_milli(500);
+  test_world next;
+  next.controller.leads(false);
+  CHECK_TRUE(next.controller.installed(world.controller.book().save()).ok());
+  next.controller.leads(true);
+  next.pass(milliseconds(1'700));
+  fleet::fleet_request held_up;
+  *held_up.mutable_beat() = before;
+  next.ask(held_up);
+  next.pass(milliseconds(500));
+  LONGS_EQUAL(1, next.controller.book().runs_on(worker_id("a")).size());
+}
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -286,7 +286,7 @@
 /// gets may be from before it led: until the worker is known to get its
 /// answers, how old they are is not known.
 void fleet_controller::review_unstarted(worker_view& it) {
-  if (!it.known || losing_.contains(it.id)) return;
+  if (!it.answered || losing_.contains(it.id)) return;
   const milliseconds sure =
       workers_.leases().answer_limit + detail::order_margin;
   const bool sends = takes_starts(it) && !is_overfull(it);
