A lasting task that presses for room is looked at in each round

A pressing step without an opening was left alone for as long as the last round had taken; the next one came 520 to 560 ms later, that is sooner as often as not, so that rooms that opened were seen every 1.1 s, twice the round.

kept_rooms_rounds fails without (rounds 600 and 560 ms apart by turns) and passes with it; waiting-serving 22 of 22.

--- a/fleet/kept-rooms.cc
+++ b/fleet/kept-rooms.cc
@@ -292,7 +292,7 @@
     if (room < wait.cpu) return;
   }
   if (no_opening_until_.contains(wait.first)) {
-    out.without += wait.tasks - have;
+    out.left_alone += wait.tasks - have;
     return;
   }
   // Estimates are often far off: what waited long takes the soonest room there
@@ -351,18 +351,21 @@
   milliseconds longest{0};
   const std::vector<long_wait> waits = long_waits(settings_.keep_after);
   // Else the first ones, looked at again and again, would leave none to others.
+  // Half a round less, as the next round may come sooner than this one did.
   look.round = std::min(passed, detail::left_alone_for) *
-               (waits.size() / look.most_choices + 1);
+                   (waits.size() / look.most_choices) +
+               std::min(passed, detail::left_alone_for) / 2;
   for (const long_wait& wait : waits) {
     longest = std::max(longest, now - wait.since);
     keep_for(wait, have[wait.first], look);
   }
-  if (out.kept + out.without == 0) return out;
+  if (out.kept + out.without + out.left_alone == 0) return out;
   log_event(detail::service_name, log_level::info, "rooms-kept")
       .with("new", out.kept)
       .with("all", out.all)
       .with("most", look.most)
       .with("without", out.without)
+      .with("left-alone", out.left_alone)
       .with("stops", out.evictions.size())
       .with("looks", out.looks)
       .with("longest-wait-ms", longest.count());
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -55,11 +55,12 @@
     task_key step;
   };
   struct rooms_made {
-    // Rooms that are kept, those among them that are new, and tasks for which
-    // there is none.
+    // Rooms that are kept, those among them that are new, tasks for which there
+    // is none, and tasks of steps that were not looked at for a while.
     size_t all = 0;
     size_t kept = 0;
     size_t without = 0;
+    size_t left_alone = 0;
     // Workers that were looked at in full.
     size_t looks = 0;
     std::vector<eviction> evictions;
