A start is withheld until every loss of its worker is applied

Cause: while a loss of a worker is in flight, its answers carry no start, as a run that is being declared lost must not begin. The guard was a map by worker that the first applied loss erased, however many were in flight. recall_start proposes losses without asking the guard, so that several are.

On i-5fa645338f starts are recalled at 47.556, 48.081 and 48.192 s, others are withdrawn at 48.313 (allowed although a loss was proposed 0.12 s before) and, run 1 of the task among them, at 48.463 s; run 1 is delivered 91 ms after its withdrawal. When each loss was applied is not in the log.

The guard now counts the proposed losses and ends with the last one. A later loss no longer clears loss_proposed of an earlier one either.

late_end.start_is_sent_while_its_loss_is_pending fails before (1 start sent, 0 expected) and passes after.

--- a/fleet/controller-late-ends.cc
+++ b/fleet/controller-late-ends.cc
@@ -19,7 +19,7 @@
 /// does not report the end again. These ends are not acknowledged here.
 void fleet_controller::record_ends_only(const fleet::worker_beat& beat) {
   worker_view* it = workers_.find(incarnation_of(beat));
-  if (it == nullptr || it->loss_proposed || proposed_losses_.contains(it->id))
+  if (it == nullptr || it->loss_proposed || pending_losses_.contains(it->id))
     return;
   if (book_.runs_on(it->id).empty()) return;
   record_ends(*it, beat.ended(), false);
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -287,7 +287,7 @@
 /// list yet.
 std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // None of the runs may begin while some of them are being declared lost.
-  if (!accepts_starts(it) || proposed_losses_.contains(it.id)) return {};
+  if (!accepts_starts(it) || pending_losses_.contains(it.id)) return {};
   // An order in an answer that the worker drops occupies capacity uselessly
   // until the worker's next heartbeat; an order that was never sent can be
   // withdrawn.
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -113,7 +113,7 @@
   loss.set_over(cause == loss_cause::replaced ||
                 cause == loss_cause::restarted || cause == loss_cause::left);
   loss.set_silent(cause == loss_cause::lease && !it.lapsed.empty());
-  it.loss_proposed = loss.over();
+  it.loss_proposed = it.loss_proposed || loss.over();
   std::set<run_key> lost_runs(runs.begin(), runs.end());
   const bool crashed = shows_crash(it, cause);
   if (crashed) lost_runs.insert(it.lapsed.begin(), it.lapsed.end());
@@ -126,7 +126,7 @@
   }
   if (crashed) add_crash_findings(it, lost_runs, loss);
   add_command(std::move(command));
-  proposed_losses_[it.id].insert(runs.begin(), runs.end());
+  ++pending_losses_[it.id];
   log_event line(detail::service_name, log_level::info, "runs-over");
   line.with("worker", it.id.str())
       .with("runs", runs.size())
@@ -221,7 +221,7 @@
     const std::vector<worker_view*>& incarnations =
         workers_.incarnations_of(name);
     for (worker_view* it : incarnations) {
-      if (proposed_losses_.contains(it->id)) continue;
+      if (pending_losses_.contains(it->id)) continue;
       const worker_view* next =
           detail::find_survivor(incarnations, *it, loss_grace());
       if (next == nullptr) continue;
@@ -247,7 +247,7 @@
     watched.set(it, recently_heard ? it.last_heartbeat_at + detail::dead_after
                                    : next_review);
     if (recently_heard || it.leave_recorded_at ||
-        proposed_losses_.contains(it.id))
+        pending_losses_.contains(it.id))
       continue;
     const bool lease_ended = now >= it.lease_expires_at + loss_grace();
     loss_cause cause = loss_cause::lease;
@@ -285,7 +285,7 @@
       leases.answer_limit + leases.slack + loss_grace();
   workers_.groups().left.retain_if([&](worker_view& it) {
     if (!it.leave_recorded_at) return false;
-    if (proposed_losses_.contains(it.id)) return true;
+    if (pending_losses_.contains(it.id)) return true;
     std::vector<run_key> long_running;
     for (const run_key& run : book_.runs_on(it.id)) {
       if (is_long_running(run)) long_running.push_back(run);
@@ -308,7 +308,7 @@
 /// may date from before its leadership: their age is unknown until the worker
 /// is known to get this leader's answers.
 void fleet_controller::review_unstarted(worker_view& it) {
-  if (!it.got_answer || proposed_losses_.contains(it.id)) return;
+  if (!it.got_answer || pending_losses_.contains(it.id)) return;
   const milliseconds min_age =
       workers_.leases().answer_limit + detail::order_margin;
   const bool can_start = accepts_starts(it) && !is_overcommitted(it);
@@ -335,7 +335,7 @@
   const time_point now = clock_.now();
   workers_.groups().with_unsent_starts.retain_if([&](worker_view& it) {
     if (it.unsent_starts.empty()) return false;
-    if (proposed_losses_.contains(it.id)) return true;
+    if (pending_losses_.contains(it.id)) return true;
     const auto& runs = book_.runs_on(it.id);
     std::erase_if(it.unsent_starts,
                   [&runs](const auto& p) { return !runs.contains(p.first); });
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -209,8 +209,9 @@
   if (command.has_starts()) on_starts_applied(command.starts());
   if (command.has_loss()) {
     const worker_id worker(command.loss().worker());
-    proposed_losses_.erase(worker);
-    if (worker_view* it = workers_.find(worker)) it->loss_proposed = false;
+    settle_loss(worker);
+    worker_view* it = workers_.find(worker);
+    if (it != nullptr && command.loss().over()) it->loss_proposed = false;
   }
   if (command.has_leave()) {
     // The worker got no acknowledgement of its leave and may continue.
@@ -242,7 +243,7 @@
   if (command.has_report()) mark_runs_changed(command.report().worker());
   if (command.has_loss()) {
     mark_runs_changed(command.loss().worker());
-    proposed_losses_.erase(worker_id(command.loss().worker()));
+    settle_loss(worker_id(command.loss().worker()));
     if (command.loss().gone()) {
       forget_worker(command.loss().worker(), command.loss().over());
     }
@@ -273,6 +274,13 @@
   }
 }
 
+/// A proposed loss was applied or could not be proposed.
+void fleet_controller::settle_loss(const worker_id& worker) {
+  const auto it = pending_losses_.find(worker);
+  if (it != pending_losses_.end() && --it->second == 0)
+    pending_losses_.erase(it);
+}
+
 void fleet_controller::mark_runs_changed(const std::string& worker) {
   worker_view* it = workers_.find(worker_id(worker));
   if (it == nullptr) return;
@@ -333,7 +341,7 @@
     }
   }
   workers_.clear();
-  proposed_losses_.clear();
+  pending_losses_.clear();
   done_while_proposed_.clear();
   moving_.clear();
   evicting_.clear();
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -162,6 +162,7 @@
   void flush();
   void undo_proposal(const fleet::fleet_command& command,
                      const absl::Status& status);
+  void settle_loss(const worker_id& worker);
   void mark_runs_changed(const std::string& worker);
   void forget_worker(const std::string& worker, bool over);
   void mark_left(const std::string& worker);
@@ -314,8 +315,8 @@
   std::map<job_number, uint64_t> pending_submissions_;
   // Commands not yet proposed to the log.
   fleet::command_batch batch_;
-  // Losses proposed and not yet applied, by worker.
-  std::map<worker_id, std::set<run_key>> proposed_losses_;
+  // Number of losses proposed and not yet applied, by worker.
+  std::map<worker_id, unsigned> pending_losses_;
   // Tasks reported as done by an earlier run while a new start is proposed, and
   // when that was reported.
   std::map<task_key, time_point> done_while_proposed_;
--- a/fleet/late-end-test.cc
+++ b/fleet/late-end-test.cc
@@ -2,6 +2,8 @@
 // placed again.
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+
 #include "fleet/fleet-test-world.h"
 
 using namespace kestrelreel;
@@ -51,3 +53,40 @@
     LONGS_EQUAL(0, world.workers["a"].ended_size());
   }
 }
+
+// Of two losses of a worker in flight, the first to be applied released the
+// worker's starts: a run that the second one ended was sent all the same.
+TEST(late_end, start_is_sent_while_its_loss_is_pending) {
+  test_world world;
+  world.configure(1, 99);
+  world.beat("a");
+  for (const uint64_t job : {1, 2}) {
+    world.submit(job, {test_world::make_step(1)});
+  }
+  world.beat("a");
+  const auto listed = world.workers["a"].running();
+  LONGS_EQUAL(2, listed.size());
+  world.pass(milliseconds(4'300));
+  const auto call = [&world](const std::string& worker) {
+    const auto orders = std::make_shared<fleet::worker_orders>();
+    fleet::fleet_request request;
+    *request.mutable_beat() = world.next_heartbeat(worker);
+    world.controller.request(
+        request, [orders](const auto& it) { *orders = it.orders(); });
+    world.controller.decide();
+    return *orders;
+  };
+  call("b");
+  // The waiting call of worker `b` times out, so that the starts are not sent.
+  world.clock.advance(milliseconds(1'000));
+  world.commit();
+  LONGS_EQUAL(2, world.controller.book().runs_on(worker_id("b")).size());
+  for (const auto& row : listed) {
+    world.end("a", row.task(), row.run(), fleet::run_done);
+    call("a");
+  }
+  LONGS_EQUAL(2, world.log.proposed.size());
+  world.controller.applied(world.log.proposed.front());
+  world.log.proposed.pop_front();
+  LONGS_EQUAL(0, call("b").starts_size());
+}
