A worker is heard within a third of its lease whatever the window

In the record of the incident two tasks begin again 6.45 and 6.60 s after their first runs BEGAN; a worker that is unread for 6.22 s there loses its runs (lease of 6 s, its drift and slack), and their own boxes had just returned.

Cause: a control box passes on a window of calls and tells the others to come again, 2xx without a lease. A call waits for 0.1 s of each 0.3, so that who is passed on when the window has space is chance; the order by longest wait chooses among those that happen to wait. Where each box's answers take 450 to 900 ms, and the leader keeps up, workers are unread for 5.5 to 9.3 s.

Now a worker of which nothing was passed on for 0.7 s is passed on beyond the window, unless the leader is overloaded, which its answers tell.

Evidence: late_intake, rows with all boxes late: unread for 5,610 ms before (2,333 borne), all rows pass now; the row "all of them" has the bound of the others now (it had a whole lease). heartbeat_intake.worker_is_put_off_for_ever is new.

held_back_calls: the tests' slow leader says that it is overloaded, as the real one does; the checks are as they were.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -269,6 +269,45 @@
   CHECK_FALSE(intake.has_pending_calls());
 }
 
+// A worker whose calls came only while the window was full was never heard.
+TEST(heartbeat_intake, worker_is_put_off_for_ever) {
+  for (const bool overloaded : {false, true}) {
+    intake_settings settings;
+    settings.initial_window = settings.min_window = settings.max_window = 1;
+    heartbeat_intake full(settings, clock, metrics);
+    const auto call_of = [&](const std::string& worker, uint64_t sequence) {
+      fleet::worker_beat it = beat;
+      it.set_worker(worker);
+      it.set_sequence(sequence);
+      it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+      full.take(it, [](const fleet::fleet_response&) {});
+    };
+    const auto answer_other = [&](uint64_t sequence) {
+      fleet::beat_answers all;
+      fleet::beat_answer& it = *all.add_answers();
+      it.set_worker("other");
+      it.set_sequence(sequence);
+      it.set_overloaded(overloaded);
+      full.handle_answers(all);
+    };
+    int forwarded = 0;
+    for (uint64_t n = 1; n <= 10; ++n) {
+      call_of("other", n);
+      full.collect("L");
+      call_of("starved", n);
+      clock.advance(milliseconds(150));
+      const fleet::beat_batch batch = full.collect("L");
+      for (const auto& it : batch.beats()) {
+        if (it.worker() == "starved") ++forwarded;
+      }
+      full.expire();
+      answer_other(n);
+      clock.advance(milliseconds(200));
+    }
+    CHECK_EQUAL(!overloaded, forwarded > 0);
+  }
+}
+
 TEST_GROUP(intake_directory){};
 
 TEST(intake_directory, worker_sent_to_other_data_centre) {
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -1,6 +1,7 @@
 #include "fleet/beat-intake.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "fleet/beat-order.h"
@@ -61,9 +62,17 @@
 
 void heartbeat_intake::set_state(worker_state& it, call_state state) {
   const call_state before = std::exchange(it.state, state);
-  if (before == call_state::waiting) --waiting_;
+  if (before == call_state::waiting) {
+    --waiting_;
+    if (std::exchange(it.overdue, false)) --overdue_;
+  }
   if (before == call_state::forwarded) --forwarded_;
-  if (state == call_state::waiting) ++waiting_;
+  if (state == call_state::waiting) {
+    ++waiting_;
+    it.overdue = !leader_overloaded_ &&
+                 clock_.now() - it.waiting_since >= settings_.max_unforwarded;
+    if (it.overdue) ++overdue_;
+  }
   if (state != call_state::forwarded) return;
   ++forwarded_;
   if (!std::exchange(unanswered_, true)) unanswered_since_ = clock_.now();
@@ -107,21 +116,30 @@
   for (auto& [id, it] : workers_) {
     if (it.state == call_state::waiting) next.push_back(&it);
   }
-  const size_t space = window_ - std::min(window_, forwarded_);
+  const size_t space =
+      std::max(window_ - std::min(window_, forwarded_), overdue_);
   if (next.size() <= space) return next;
-  std::erase_if(next, [&](const auto* it) {
-    return !it->beat.draining() &&
-           clock_.now() - it->called_at >= settings_.put_off_after;
-  });
+  std::erase_if(next, [&](const auto* it) { return may_put_off(*it); });
   if (next.size() <= space) return next;
-  std::stable_sort(next.begin(), next.end(), [](const auto* a, const auto* b) {
-    return std::make_pair(!a->beat.draining(), a->waiting_since) <
-           std::make_pair(!b->beat.draining(), b->waiting_since);
+  const auto rank = [](const worker_state* it) {
+    return std::make_tuple(!it->overdue, !it->beat.draining(),
+                           it->waiting_since);
+  };
+  std::stable_sort(next.begin(), next.end(), [&](const auto* a, const auto* b) {
+    return rank(a) < rank(b);
   });
   next.resize(space);
   return next;
 }
 
+/// True for a call that has waited too long here for the leader's answer to
+/// arrive in time.
+bool heartbeat_intake::may_put_off(const worker_state& it) const {
+  const time_point now = clock_.now();
+  return !it.beat.draining() && !it.overdue &&
+         now - it.called_at >= settings_.put_off_after;
+}
+
 /// Adapts the window to the time that the leader took to answer.
 void heartbeat_intake::record_answer_time(const worker_state& it) {
   if (clock_.now() - it.forwarded_at > settings_.slow_answer_threshold) {
@@ -273,6 +291,7 @@
     if (found == workers_.end()) continue;
     worker_state& it = found->second;
     record_rtt(it, answer);
+    leader_overloaded_ = answer.overloaded();
     if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
     if (answer.response().wants_whole()) {
       it.known_to.clear();
@@ -289,9 +308,12 @@
 
 void heartbeat_intake::leader_changed() {
   for (auto& [id, it] : workers_) {
-    if (it.respond) set_state(it, call_state::waiting);
+    if (!it.respond) continue;
+    if (it.waiting_since == time_point{}) it.waiting_since = it.called_at;
+    set_state(it, call_state::waiting);
   }
   window_ = settings_.initial_window;
+  leader_overloaded_ = false;
   unanswered_ = false;
   rtt_updated_at_ = {};
 }
@@ -301,9 +323,8 @@
   for (auto& [id, it] : workers_) {
     if (!it.respond) continue;
     const milliseconds age = now - it.called_at;
-    const bool window_blocks =
-        it.state == call_state::waiting && !it.beat.draining() && window_full();
-    if (window_blocks && age >= settings_.put_off_after) put_off(it);
+    if (it.state == call_state::waiting && window_full() && may_put_off(it))
+      put_off(it);
     if (!it.respond || age < settings_.answer_timeout) continue;
     if (it.state == call_state::forwarded) {
       ++slow_answers_;
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -41,6 +41,12 @@
   /// to retry: the rest of the worker's 1 s is too short for the leader's
   /// answer.
   milliseconds put_off_after{100};
+  /// Unless the leader is overloaded, a call is forwarded whatever the window
+  /// if none of its worker was forwarded for this time. Otherwise a worker
+  /// whose calls happen to come while the window is full is never heard.
+  /// Together with the slowest answer and two intervals of calls this is a
+  /// third of a lease.
+  milliseconds max_unforwarded{700};
   /// Delay after which the worker should retry.
   milliseconds retry_delay{200};
   /// Without any answer for this time, the leader is out of reach of this box,
@@ -67,9 +73,10 @@
   /// `expire`. A call that is inconsistent with the previous one is refused,
   /// logged and counted in the same metric as on the leader.
   void take(fleet::worker_beat beat, respond_function respond);
-  /// True when calls wait to be forwarded and the window has space.
+  /// True when calls wait to be forwarded and the window has space or does not
+  /// apply to them.
   bool has_pending_calls() const {
-    return waiting_ > 0 && forwarded_ < window_;
+    return overdue_ > 0 || (waiting_ > 0 && forwarded_ < window_);
   }
   /// Returns the calls to forward to `leader`. A leader that does not know a
   /// worker gets the whole heartbeat, else the difference. The batch holds no
@@ -107,8 +114,11 @@
     time_point called_at{};
     call_state state = call_state::none;
     time_point forwarded_at{};
-    // Since when the worker has called and no call was forwarded.
+    // Since when the worker has called and no call was forwarded; 0 after a
+    // call was forwarded.
     time_point waiting_since{};
+    // The pending call is forwarded whatever the window.
+    bool overdue = false;
     // The state that the leader `known_to` has, by the forwarded call with the
     // sequence `forwarded_sequence`.
     std::string known_to;
@@ -121,6 +131,7 @@
 
   void refuse(const fleet::worker_beat& beat, const respond_function& respond);
   std::vector<worker_state*> next_to_forward();
+  bool may_put_off(const worker_state& it) const;
   void record_answer_time(const worker_state& it);
   void record_rtt(const worker_state& it, const fleet::beat_answer& answer);
   void shrink_window();
@@ -138,8 +149,12 @@
   metrics_registry& metrics_;
   // By incarnation, as a difference must not refer to an earlier incarnation.
   std::map<std::string, worker_state> workers_;
-  // Calls that wait to be forwarded.
+  // Calls that wait to be forwarded, and those of them that are overdue.
   size_t waiting_ = 0;
+  size_t overdue_ = 0;
+  // By its last answer, the leader is overloaded: it gets no calls beyond the
+  // window.
+  bool leader_overloaded_ = false;
   // Calls that the leader has, and their maximum number.
   size_t forwarded_ = 0;
   size_t window_ = settings_.initial_window;
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -50,6 +50,7 @@
           out.set_sequence(n);
           const milliseconds elapsed = clock_.now() - taken_in;
           out.set_leader_ms(static_cast<uint64_t>(elapsed.count()));
+          out.set_overloaded(lag_.overloaded());
           *out.mutable_response() = std::move(response);
           answer(std::move(out));
         };
--- a/fleet/lagging-leader-test.cc
+++ b/fleet/lagging-leader-test.cc
@@ -169,9 +169,10 @@
       responses[worker] = std::move(response);
     });
   }
-  void answer(const fleet::worker_beat& beat) {
+  void answer(const fleet::worker_beat& beat, bool overloaded) {
     fleet::beat_answers all;
     fleet::beat_answer& it = *all.add_answers();
+    it.set_overloaded(overloaded);
     it.set_worker(beat.worker());
     it.set_sequence(beat.sequence());
     it.mutable_response()->mutable_orders()->set_hold_ms(6'000);
@@ -184,7 +185,8 @@
       for (int n = 0; n < 200; ++n) call("w" + std::to_string(n));
       const fleet::beat_batch batch = intake.collect("L");
       clock.advance(delay);
-      for (const auto& beat : batch.beats()) answer(beat);
+      const bool overloaded = delay > settings.slow_answer_threshold;
+      for (const auto& beat : batch.beats()) answer(beat, overloaded);
     }
   }
 };
@@ -212,7 +214,7 @@
     clock.advance(milliseconds(700));
     for (const auto& beat : batch.beats()) {
       served.insert(beat.worker());
-      answer(beat);
+      answer(beat, true);
     }
   }
   LONGS_EQUAL(200, served.size());
--- a/fleet/late-intake-test.cc
+++ b/fleet/late-intake-test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// A worker calls three times per lease at any load.
-constexpr milliseconds default_max_unread_time = max_lease_duration / 3;
+constexpr milliseconds max_unread_time = max_lease_duration / 3;
 
 struct row {
   const char* name;
@@ -18,7 +18,6 @@
   milliseconds call_delay{0};
   // Number of slow boxes out of four.
   int boxes = 1;
-  milliseconds max_unread_time = default_max_unread_time;
 };
 
 busy::outcome run_row(const row& it) {
@@ -40,8 +39,9 @@
 
 TEST_GROUP(late_intake){};
 
-// Workers whose calls a slow box put off repeatedly never reached the leader.
-// They were declared lost, and their completed tasks were started again.
+// Workers whose calls a slow box put off repeatedly never reached the leader,
+// also where each box was slow and the leader was not. They were declared lost,
+// and their completed tasks were started again.
 TEST(late_intake, workers_put_off_by_slow_box_are_declared_lost) {
   const row rows[] = {
       {"half a second late", milliseconds(500)},
@@ -50,15 +50,16 @@
       {"seconds late", milliseconds(4'000)},
       {"calls are late", milliseconds(0), milliseconds(850)},
       {"three of four", milliseconds(500), milliseconds(0), 3},
-      // No box is faster: each worker gets a turn within its lease.
-      {"all of them", milliseconds(500), milliseconds(0), 4,
-       max_lease_duration},
+      // No box is faster, so that no call is sent to another one.
+      {"all of them, hardly late", milliseconds(450), milliseconds(0), 4},
+      {"all of them", milliseconds(500), milliseconds(0), 4},
+      {"all of them, nearly too late", milliseconds(850), milliseconds(0), 4},
   };
   for (const row& it : rows) {
     const busy::outcome out = run_row(it);
     STRCMP_EQUAL_TEXT("", out.violation.c_str(), it.name);
     CHECK_TRUE_TEXT(out.done > 0, it.name);
-    busy::check_within(it.max_unread_time, out.longest_read_gap, it.name,
+    busy::check_within(max_unread_time, out.longest_read_gap, it.name,
                        "unread");
     LONGS_EQUAL_TEXT(0, out.restarts_after_success, it.name);
     LONGS_EQUAL_TEXT(0, out.lapsed, it.name);
--- a/fleet/leader-lag.h
+++ b/fleet/leader-lag.h
@@ -37,6 +37,10 @@
   milliseconds lag() const { return lag_; }
   /// True while deferrable duties are performed less often than normal.
   bool behind() const { return stretch_percent_ > normal_percent; }
+  /// True while they are deferred as far as they may be.
+  bool overloaded() const {
+    return stretch_percent_ >= settings_.max_stretch_percent;
+  }
   /// The interval of a deferrable duty in percent of its normal interval; 100
   /// for a leader without lag.
   unsigned stretch_percent() const { return stretch_percent_; }
