A good end of a lost run counts even if a later run was started

Cause: an end that came after its run had been declared lost counted only while no later run was recorded. To keep that so, the leader withdrew a later start that was in no answer yet; once it was in one, the end was acknowledged without effect, and the later start went out again until its worker began it.

Now the book keeps which runs were declared lost until their end is reported or their job is over. A good end of such a run completes its task whatever came after; the later run is not started any more, and is stopped where it runs, and takes up its worker's capacity until it ends. Starts of a task are withheld while a good end of it is on its way through the log.

The line end-not-counted was written for ends that count as well, and for the many ends of runs that a worker killed with its lease, so that its bound hid the few that matter. Ends that count are late-end-counted now; an end without effect is a warning if its run was done or failed, else at debug. Both tell where the later run is and how far its start came.

late_end.task_done_late_is_not_started_again, rows sent and listed: the first fails before (the job is not succeeded), both pass now.

--- a/fleet/controller-late-ends.cc
+++ b/fleet/controller-late-ends.cc
@@ -1,6 +1,4 @@
-// Ends reported late, or in a heartbeat that is otherwise ignored. Such an end
-// of a run that is done counts as long as no later run of the task may have
-// begun.
+// Ends reported late, or in a heartbeat that is otherwise ignored.
 #include "fleet/controller.h"
 #include "kernel/log.h"
 
@@ -8,9 +6,6 @@
 namespace detail {
 
 constexpr const char* service_name = "controller";
-/// A worker repeats an unacknowledged end with its next heartbeat, well within
-/// this time. An end of a worker that no longer calls stays unreported.
-constexpr milliseconds end_relist_window{2'000};
 
 }  // namespace detail
 
@@ -25,48 +20,38 @@
   record_ends(*it, beat.ended(), false);
 }
 
-/// Withdraws a later run of the task so that the end counts. Returns false
-/// while the later run's start is being committed: this end and those listed
-/// after it then wait for the worker's next heartbeat.
-bool fleet_controller::recall_later_run(const fleet::run_end& end) {
-  const task_key key = to_key(end.task());
-  const task_entry* task = book_.find(key);
-  const fleet::step_spec* step = book_.find_step(key);
-  if (end.outcome() != fleet::run_done || task == nullptr) return true;
-  // The end of one member is not the end of its gang, and a long-running task
-  // is never done.
-  if (step->gang() || step->long_running()) return true;
-  if (task->phase == task_phase::waiting && scheduler_.is_proposed(key)) {
-    done_while_proposed_[key] = clock_.now();
-    return false;
+/// The successful ends in the report were applied or could not be proposed.
+void fleet_controller::settle_successes(const fleet::worker_report& report) {
+  for (const fleet::run_end& end : report.ends()) {
+    if (end.outcome() != fleet::run_done) continue;
+    const auto it = pending_successes_.find(to_key(end.task()));
+    if (it != pending_successes_.end()) pending_successes_.erase(it);
   }
-  done_while_proposed_.erase(key);
-  const bool runs_again =
-      task->phase == task_phase::running && task->run > run_number(end.run());
-  if (runs_again) recall_start({key, task->run}, task->worker);
-  return true;
 }
 
-/// Withdraws a start that was not sent in any answer.
-void fleet_controller::recall_start(const run_key& run,
-                                    const worker_id& worker) {
-  worker_view* it = workers_.find(worker);
-  if (it == nullptr || it->unsent_starts.erase(run) == 0) return;
-  log_event(detail::service_name, log_level::info, "start-recalled")
-      .with("task", to_text(run.task))
-      .with("run", run.run.value())
-      .with("worker", worker.str())
-      .with("cause", "an earlier run is done");
-  propose_loss(*it, {run}, loss_cause::unsent);
-}
-
-void fleet_controller::recall_start_if_done(const run_key& run,
-                                            const worker_id& worker) {
-  const auto it = done_while_proposed_.find(run.task);
-  if (it == done_while_proposed_.end()) return;
-  const bool recent = clock_.now() - it->second < detail::end_relist_window;
-  done_while_proposed_.erase(it);
-  if (recent) recall_start(run, worker);
+/// Logs an end of a run that was declared lost. One that is acknowledged
+/// without effect although its run was done or failed is a warning; the ends of
+/// runs that a worker killed when its lease expired are many and expected.
+void fleet_controller::log_late_end(const std::string& worker,
+                                    const job_book::late_end& it) {
+  const bool has_result =
+      it.outcome == fleet::run_done || it.outcome == fleet::run_failed;
+  const log_level uncounted = has_result ? log_level::warn : log_level::debug;
+  const run_key later{it.run.task, it.later_run};
+  const worker_view* view = workers_.find(it.later_worker);
+  const bool listed = view != nullptr && view->rows.contains(later);
+  const bool sent = view != nullptr && view->starts_sent_at.contains(later);
+  log_event(detail::service_name, it.counted ? log_level::info : uncounted,
+            it.counted ? "late-end-counted" : "end-not-counted")
+      .with("task", to_text(it.run.task))
+      .with("run", it.run.run.value())
+      .with("outcome", fleet::run_outcome_Name(it.outcome))
+      .with("worker", worker)
+      .with("present-run", it.later_run.value())
+      .with("present-worker", it.later_worker.str())
+      .with("present-start", listed ? "listed"
+                             : sent ? "sent"
+                                    : "unsent");
 }
 
 }  // namespace kestrelreel
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -295,7 +295,8 @@
   if (is_overcommitted(it)) return {};
   std::vector<run_key> out;
   for (const run_key& run : book_.runs_on(it.id)) {
-    const bool ended = lists_end(it, run) || should_stop(run);
+    const bool ended = lists_end(it, run) || should_stop(run) ||
+                       pending_successes_.contains(run.task);
     if (!ended && !it.rows.contains(run)) out.push_back(run);
   }
   return out;
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -327,10 +327,10 @@
   if (!lost.empty()) propose_loss(it, lost, loss_cause::lease);
 }
 
-/// Withdraws starts that waited too long to be sent: a start for a worker whose
-/// heartbeat is overdue occupies capacity while the task could run elsewhere. A
-/// start that was never sent can't begin, and none of the worker's starts is
-/// sent while the withdrawal is pending.
+/// Withdraws starts that waited too long to be sent, or need not be sent any
+/// more: a start for a worker whose heartbeat is overdue occupies capacity
+/// while the task could run elsewhere. A start that was never sent can't begin,
+/// and none of the worker's starts is sent while the withdrawal is pending.
 void fleet_controller::review_unsent() {
   const time_point now = clock_.now();
   workers_.groups().with_unsent_starts.retain_if([&](worker_view& it) {
@@ -340,14 +340,17 @@
     std::erase_if(it.unsent_starts,
                   [&runs](const auto& p) { return !runs.contains(p.first); });
     std::vector<run_key> expired;
+    std::vector<run_key> withdrawn;
     for (const auto& [run, deadline] : it.unsent_starts) {
-      if (now >= deadline) expired.push_back(run);
+      const bool obsolete = should_stop(run);
+      if (!obsolete && now >= deadline) expired.push_back(run);
+      if (obsolete || now >= deadline) withdrawn.push_back(run);
     }
-    if (expired.empty()) return !it.unsent_starts.empty();
-    for (const run_key& run : expired) it.unsent_starts.erase(run);
-    it.starts_recalled_at = now;
+    if (withdrawn.empty()) return !it.unsent_starts.empty();
+    for (const run_key& run : withdrawn) it.unsent_starts.erase(run);
+    if (!expired.empty()) it.starts_recalled_at = now;
     record_taken_back(it, expired);
-    propose_loss(it, expired, loss_cause::unsent);
+    propose_loss(it, withdrawn, loss_cause::unsent);
     return !it.unsent_starts.empty();
   });
 }
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -176,7 +176,6 @@
   report.set_worker(it.id.str());
   for (const fleet::run_end& end : ends) {
     if (end.number() <= last_known) continue;
-    if (!recall_later_run(end)) break;
     *report.add_ends() = end;
     it.last_end_proposed = std::max(it.last_end_proposed, end.number());
     record_end(it, end);
@@ -199,6 +198,7 @@
   ++metrics_.counter("kestrelreel_run_ends_total",
                      {{"outcome", fleet::run_outcome_Name(end.outcome())}});
   if (end.outcome() == fleet::run_done) {
+    pending_successes_.insert(to_key(end.task()));
     it.failures = it.failed_jobs = it.refusals = it.avoided_times = 0;
     return;
   }
@@ -337,7 +337,6 @@
       workers_.groups().with_unsent_starts.add(*view);
       workers_.groups().held_calls.remove(*view);
       workers_.groups().calling.add(*view);
-      recall_start_if_done(run, view->id);
     }
     if (!counted || !book_.runs_on(view->id).contains(run)) {
       view->load_is_stale = true;
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -222,6 +222,7 @@
     const worker_id worker(command.report().worker());
     worker_view* it = workers_.find(worker);
     if (it != nullptr) it->last_end_proposed = book_.last_end(worker);
+    settle_successes(command.report());
   }
   const auto it = pending_responses_.find(command.token());
   if (it == pending_responses_.end()) return;
@@ -240,7 +241,10 @@
 void fleet_controller::apply_one(const fleet::fleet_command& command) {
   const job_book::result result = book_.apply(command);
   if (command.has_starts()) on_starts_applied(command.starts());
-  if (command.has_report()) mark_runs_changed(command.report().worker());
+  if (command.has_report()) {
+    mark_runs_changed(command.report().worker());
+    settle_successes(command.report());
+  }
   if (command.has_loss()) {
     mark_runs_changed(command.loss().worker());
     settle_loss(worker_id(command.loss().worker()));
@@ -251,7 +255,8 @@
   if (command.has_evacuation()) log_evacuation(command.evacuation());
   if (command.has_leave() && leads_) mark_left(command.leave().worker());
   if (!leads_) return;
-  log_uncounted_ends(command.report().worker(), result);
+  for (const job_book::late_end& it : result.late_ends)
+    log_late_end(command.report().worker(), it);
   record_given_up_tasks(result);
   const auto it = pending_responses_.find(command.token());
   if (it == pending_responses_.end()) return;
@@ -260,20 +265,6 @@
   respond(make_response(result.status, result.reason));
 }
 
-/// Logs acknowledged ends that have no effect: their runs were declared lost
-/// too early.
-void fleet_controller::log_uncounted_ends(
-    const std::string& worker, const job_book::result& result) const {
-  for (const job_book::uncounted_end& it : result.uncounted) {
-    log_event(detail::service_name, log_level::warn, "end-not-counted")
-        .with("task", to_text(it.run.task))
-        .with("run", it.run.run.value())
-        .with("outcome", fleet::run_outcome_Name(it.outcome))
-        .with("present-run", it.present.value())
-        .with("worker", worker);
-  }
-}
-
 /// A proposed loss was applied or could not be proposed.
 void fleet_controller::settle_loss(const worker_id& worker) {
   const auto it = pending_losses_.find(worker);
@@ -342,7 +333,7 @@
   }
   workers_.clear();
   pending_losses_.clear();
-  done_while_proposed_.clear();
+  pending_successes_.clear();
   moving_.clear();
   evicting_.clear();
   crash_times_.clear();
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -167,8 +167,6 @@
   void forget_worker(const std::string& worker, bool over);
   void mark_left(const std::string& worker);
   void apply_one(const fleet::fleet_command& command);
-  void log_uncounted_ends(const std::string& worker,
-                          const job_book::result& result) const;
   uint64_t pending_of(const fleet::queue_route& queue) const;
 
   // Heartbeats, run ends and placement: controller-workers.cc and
@@ -196,9 +194,8 @@
   // Ends reported late, or by a heartbeat that is otherwise ignored:
   // controller-late-ends.cc.
   void record_ends_only(const fleet::worker_beat& beat);
-  bool recall_later_run(const fleet::run_end& end);
-  void recall_start(const run_key& run, const worker_id& worker);
-  void recall_start_if_done(const run_key& run, const worker_id& worker);
+  void settle_successes(const fleet::worker_report& report);
+  void log_late_end(const std::string& worker, const job_book::late_end& it);
   void count_refusals(worker_view& it, const fleet::worker_report& report);
   void avoid_worker(worker_view& it, const char* cause);
   void update_paces_if_due(worker_view& it);
@@ -317,9 +314,9 @@
   fleet::command_batch batch_;
   // Number of losses proposed and not yet applied, by worker.
   std::map<worker_id, unsigned> pending_losses_;
-  // Tasks reported as done by an earlier run while a new start is proposed, and
-  // when that was reported.
-  std::map<task_key, time_point> done_while_proposed_;
+  // The tasks of successful ends that are proposed and not yet applied: no run
+  // of them is started.
+  std::multiset<task_key> pending_successes_;
   // Backfill runs being stopped so that their tasks can run elsewhere.
   std::set<run_key> moving_;
   // Runs being stopped to free capacity for long-running tasks.
--- /dev/null
+++ b/fleet/job-book-crashes.cc
@@ -0,0 +1,61 @@
+// The crash records of tasks in the replicated state.
+#include <algorithm>
+
+#include "fleet/job-book.h"
+
+namespace kestrelreel {
+
+task_key job_book::crash_record_key(const task_key& task) const {
+  const fleet::step_spec* step = find_step(task);
+  const bool gang = step != nullptr && step->gang();
+  return gang ? task_key{task.job, task.time, task.step, 0} : task;
+}
+
+crash_record job_book::crash_of(const task_key& task) const {
+  if (suspects_.empty()) return {};
+  const task_entry* it = find(crash_record_key(task));
+  return it == nullptr ? crash_record() : it->crash;
+}
+
+bool job_book::is_suspect(const task_key& task) const {
+  return crash_of(task).crashes > 0;
+}
+
+void job_book::record_sighting(const fleet::run_sighting& it) {
+  const run_key run{to_key(it.task()), run_number(it.run())};
+  if (it.progress() == fleet::run_harmless) return clear_crashes(run);
+  task_entry* task = find_task(crash_record_key(run.task));
+  if (task == nullptr || task->crash.crashes == 0) return;
+  crash_record& crash = task->crash;
+  crash.ordered = std::max(crash.ordered, run.run);
+  if (it.progress() == fleet::run_listed) {
+    crash.listed = std::max(crash.listed, run.run);
+  }
+}
+
+void job_book::clear_crashes(const run_key& run) {
+  const task_key key = crash_record_key(run.task);
+  task_entry* task = find_task(key);
+  if (task == nullptr || run.run <= task->crash.run) return;
+  task->crash = {};
+  suspects_.erase(key);
+}
+
+/// A crash may be detected only after the run was declared lost and another
+/// one started.
+void job_book::count_crash(const run_key& run, uint32_t evidence, result& out) {
+  const task_key key = crash_record_key(run.task);
+  task_entry* task = find_task(key);
+  if (task == nullptr || task->phase == task_phase::done) return;
+  crash_record& crash = task->crash;
+  if (run.run <= crash.run || run.run > task->run) return;
+  ++crash.crashes;
+  crash.evidence += evidence;
+  crash.run = run.run;
+  suspects_.insert(key);
+  if (crash.evidence < crash_evidence_limit) return;
+  out.crashing.push_back({run.task, crash});
+  finish(jobs_.at(key.job), fleet::job_failed);
+}
+
+}  // namespace kestrelreel
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -126,6 +126,11 @@
   // Runs of ended jobs stay alive until their workers list the end.
   detail::save_runs({runs_.begin(), runs_.end()}, *out.mutable_alive());
   detail::save_runs(lapsed_, *out.mutable_lapsed());
+  for (const run_key& it : lost_) {
+    fleet::run_name& run = *out.add_lost();
+    *run.mutable_task() = to_ref(it.task);
+    run.set_run(static_cast<uint32_t>(it.run.value()));
+  }
   for (const job_number it : cancelled_early_) {
     out.add_cancelled_early(it.value());
   }
@@ -183,6 +188,9 @@
   }
   detail::load_runs(in.alive(), runs_);
   detail::load_runs(in.lapsed(), lapsed_);
+  for (const fleet::run_name& it : in.lost()) {
+    lost_.insert({to_key(it.task()), run_number(it.run())});
+  }
   for (const uint64_t it : in.cancelled_early()) {
     cancelled_early_.insert(job_number(it));
   }
--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -87,6 +87,31 @@
   LONGS_EQUAL(fleet::job_succeeded, book.find(job_number(7))->phase);
 }
 
+// The end was dropped, and the task was run again to its end.
+TEST(job_book, successful_end_of_lost_run_is_dropped_for_a_later_run) {
+  for (const bool reloaded : {false, true}) {
+    book = job_book();
+    put_config();
+    submit(7, test_world::make_step(1));
+    start(7, 0, 1, "a");
+    fleet::fleet_command loss;
+    loss.mutable_loss()->set_worker("a");
+    loss.mutable_loss()->set_gone(true);
+    book.apply(loss);
+    start(7, 0, 2, "b");
+    job_book loaded;
+    CHECK_TRUE(loaded.load(book.save()).ok());
+    CHECK_TRUE(book.save() == loaded.save());
+    if (reloaded) book = std::move(loaded);
+    end(1, 7, 0, 1, "a", fleet::run_done);
+    LONGS_EQUAL(fleet::job_succeeded, book.find(job_number(7))->phase);
+    // The later run uses capacity until it ends.
+    LONGS_EQUAL(1, book.runs_on(worker_id("b")).size());
+    end(1, 7, 0, 2, "b", fleet::run_stopped);
+    CHECK_TRUE(book.runs().empty());
+  }
+}
+
 TEST(job_book, successful_member_end_does_not_complete_gang) {
   put_config();
   fleet::step_spec step = test_world::make_step(3);
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -201,57 +201,87 @@
   for (const fleet::run_end& it : report.ends()) {
     if (it.number() <= last) continue;
     last = it.number();
-    const run_key run{to_key(it.task()), run_number(it.run())};
-    const task_entry* task = find(run.task);
-    if (task != nullptr && task->run > run.run &&
-        !runs_on(worker).contains(run)) {
-      out.uncounted.push_back({run, it.outcome(), task->run});
-    }
-    close_run(worker, run, it.outcome(), it.saved());
-    if (detail::rules_out_crash(it.outcome(), find_step(run.task)))
-      clear_crashes(run);
+    report_end(worker, it, out);
   }
   for (const auto& it : report.sightings()) record_sighting(it);
   return out;
 }
 
-void job_book::close_run(const worker_id& worker, const run_key& run,
+void job_book::report_end(const worker_id& worker, const fleet::run_end& end,
+                          result& out) {
+  const run_key run{to_key(end.task()), run_number(end.run())};
+  const task_entry* task = find(run.task);
+  const bool late =
+      task != nullptr && task->run > run.run && !runs_on(worker).contains(run);
+  late_end it{run, end.outcome(), {}, {}, false};
+  if (late) {
+    it.later_run = task->run;
+    it.later_worker = task->worker;
+  }
+  it.counted = close_run(worker, run, end.outcome(), end.saved());
+  lost_.erase(run);
+  if (late) out.late_ends.push_back(std::move(it));
+  if (detail::rules_out_crash(end.outcome(), find_step(run.task)))
+    clear_crashes(run);
+}
+
+/// A successful end that arrives after its run was declared lost counts as long
+/// as the task is not done. A later run of the task is then no longer current,
+/// so that it is not started and is stopped where it runs.
+bool job_book::completes_late(const run_key& run, fleet::run_outcome outcome,
+                              const task_entry& task) const {
+  if (outcome != fleet::run_done || run.run > task.run) return false;
+  return task.phase == task_phase::waiting ||
+         (task.phase == task_phase::running && lost_.contains(run));
+}
+
+/// Returns false if the end has no effect.
+bool job_book::close_run(const worker_id& worker, const run_key& run,
                          fleet::run_outcome outcome, const std::string& saved) {
   const auto found = runs_.find(worker);
   const bool was_recorded =
       found != runs_.end() && found->second.erase(run) > 0;
   if (was_recorded && found->second.empty()) runs_.erase(found);
   task_entry* task = find_task(run.task);
-  if (task == nullptr) return;
+  if (task == nullptr) return was_recorded;
   job_entry& job = jobs_.at(run.task.job);
   step_entry& step = job.times[run.task.time][run.task.step];
   const fleet::step_spec& spec = *find_step(run.task);
-  // A successful end that arrives after its run was declared lost still counts
-  // as long as no other run of the task is active.
-  const bool late_success = !was_recorded &&
-                            task->phase == task_phase::waiting &&
-                            run.run <= task->run && outcome == fleet::run_done;
-  if (!was_recorded && !late_success) return;
+  if (!was_recorded && !completes_late(run, outcome, *task)) return false;
   // A run that is recorded as alive and is not the task's current run: the end
   // of another gang member has already completed the task.
   const bool current =
       task->phase == task_phase::running && task->run == run.run;
-  if (was_recorded && !current) return;
+  if (was_recorded && !current) return false;
   if (was_recorded) {
     task->phase = task_phase::waiting;
     --step.running;
   }
   if (!saved.empty()) task->saved = saved;
-  if (outcome == fleet::run_failed)
-    return count_failure(job, step, *task, spec);
+  if (outcome == fleet::run_failed) {
+    count_failure(job, step, *task, spec);
+    return true;
+  }
   if (spec.gang()) save_gang_checkpoint(step, run.run, saved);
-  if (outcome != fleet::run_done || spec.long_running()) return;
+  if (outcome != fleet::run_done || spec.long_running()) return true;
   mark_done(step, *task);
   // A successful end of one member completes the whole gang.
   for (task_entry& it : step.tasks) {
     if (spec.gang() && it.run == run.run) mark_done(step, it);
   }
   finish_if_done(job);
+  return true;
+}
+
+void job_book::lose_run(const worker_id& worker, const run_key& run,
+                        const std::string& saved) {
+  const bool was_recorded = runs_on(worker).contains(run);
+  close_run(worker, run, fleet::run_lapsed, saved);
+  const fleet::step_spec* step = find_step(run.task);
+  const bool completes_alone =
+      step != nullptr && !step->gang() && !step->long_running();
+  if (was_recorded && completes_alone && find(run.task) != nullptr)
+    lost_.insert(run);
 }
 
 /// A checkpoint of any member applies to the whole gang.
@@ -271,59 +301,6 @@
   ++step.done;
 }
 
-task_key job_book::crash_record_key(const task_key& task) const {
-  const fleet::step_spec* step = find_step(task);
-  const bool gang = step != nullptr && step->gang();
-  return gang ? task_key{task.job, task.time, task.step, 0} : task;
-}
-
-crash_record job_book::crash_of(const task_key& task) const {
-  if (suspects_.empty()) return {};
-  const task_entry* it = find(crash_record_key(task));
-  return it == nullptr ? crash_record() : it->crash;
-}
-
-bool job_book::is_suspect(const task_key& task) const {
-  return crash_of(task).crashes > 0;
-}
-
-void job_book::record_sighting(const fleet::run_sighting& it) {
-  const run_key run{to_key(it.task()), run_number(it.run())};
-  if (it.progress() == fleet::run_harmless) return clear_crashes(run);
-  task_entry* task = find_task(crash_record_key(run.task));
-  if (task == nullptr || task->crash.crashes == 0) return;
-  crash_record& crash = task->crash;
-  crash.ordered = std::max(crash.ordered, run.run);
-  if (it.progress() == fleet::run_listed) {
-    crash.listed = std::max(crash.listed, run.run);
-  }
-}
-
-void job_book::clear_crashes(const run_key& run) {
-  const task_key key = crash_record_key(run.task);
-  task_entry* task = find_task(key);
-  if (task == nullptr || run.run <= task->crash.run) return;
-  task->crash = {};
-  suspects_.erase(key);
-}
-
-/// A crash may be detected only after the run was declared lost and another
-/// one started.
-void job_book::count_crash(const run_key& run, uint32_t evidence, result& out) {
-  const task_key key = crash_record_key(run.task);
-  task_entry* task = find_task(key);
-  if (task == nullptr || task->phase == task_phase::done) return;
-  crash_record& crash = task->crash;
-  if (run.run <= crash.run || run.run > task->run) return;
-  ++crash.crashes;
-  crash.evidence += evidence;
-  crash.run = run.run;
-  suspects_.insert(key);
-  if (crash.evidence < crash_evidence_limit) return;
-  out.crashing.push_back({run.task, crash});
-  finish(jobs_.at(key.job), fleet::job_failed);
-}
-
 void job_book::count_failure(job_entry& job, step_entry& step, task_entry& task,
                              const fleet::step_spec& spec) {
   if (spec.long_running()) return;
@@ -348,9 +325,11 @@
   job.phase = phase;
   live_.erase(job.order);
   const job_number number(job.spec.job());
-  suspects_.erase(
-      suspects_.lower_bound({number, 0, 0, 0}),
-      suspects_.upper_bound({number, UINT32_MAX, UINT32_MAX, UINT32_MAX}));
+  const task_key first{number, 0, 0, 0};
+  const task_key last{number, UINT32_MAX, UINT32_MAX, UINT32_MAX};
+  suspects_.erase(suspects_.lower_bound(first), suspects_.upper_bound(last));
+  lost_.erase(lost_.lower_bound({first, run_number(0)}),
+              lost_.upper_bound({last, run_number(UINT32_MAX)}));
   job.times.clear();
   job.times.shrink_to_fit();
   job.spec.clear_text();
@@ -361,15 +340,14 @@
   result out;
   for (const fleet::run_loss& it : loss.runs()) {
     const run_key run{to_key(it.task()), run_number(it.run())};
-    close_run(worker, run, fleet::run_lapsed, it.saved());
+    lose_run(worker, run, it.saved());
     if (loss.silent()) lapsed_[worker].insert(run);
     if (it.survived()) clear_crashes(run);
     if (it.crash_evidence() > 0) count_crash(run, it.crash_evidence(), out);
   }
   if (!loss.gone()) return out;
   const std::set<run_key> remaining = runs_on(worker);
-  for (const run_key& it : remaining)
-    close_run(worker, it, fleet::run_lapsed, "");
+  for (const run_key& it : remaining) lose_run(worker, it, "");
   last_ends_.erase(worker);
   left_.erase(worker);
   places_.erase(worker);
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -80,11 +80,15 @@
 /// The replicated state machine. Only `apply` and `load` change the state.
 class job_book {
  public:
-  /// An end without effect, as another run has started.
-  struct uncounted_end {
+  /// An end of a run that was declared lost, after a later run of its task has
+  /// started.
+  struct late_end {
     run_key run;
     fleet::run_outcome outcome;
-    run_number present;
+    run_number later_run;
+    worker_id later_worker;
+    /// The end completed the task; the later run is to be stopped.
+    bool counted;
   };
   /// A task whose worker crashes made its job fail.
   struct failed_by_crashes {
@@ -95,7 +99,7 @@
   struct result {
     fleet::fleet_status status = fleet::fleet_ok;
     std::string reason;
-    std::vector<uncounted_end> uncounted{};
+    std::vector<late_end> late_ends{};
     std::vector<failed_by_crashes> crashing{};
   };
 
@@ -178,8 +182,14 @@
   result forget(const fleet::job_list& jobs);
 
   void apply_start(const fleet::run_start& it);
-  void close_run(const worker_id& worker, const run_key& run,
+  void report_end(const worker_id& worker, const fleet::run_end& end,
+                  result& out);
+  void lose_run(const worker_id& worker, const run_key& run,
+                const std::string& saved);
+  bool close_run(const worker_id& worker, const run_key& run,
                  fleet::run_outcome outcome, const std::string& saved);
+  bool completes_late(const run_key& run, fleet::run_outcome outcome,
+                      const task_entry& task) const;
   static void mark_done(step_entry& step, task_entry& task);
   void count_failure(job_entry& job, step_entry& step, task_entry& task,
                      const fleet::step_spec& spec);
@@ -205,6 +215,9 @@
   std::set<worker_id> left_;
   std::map<worker_id, fleet::worker_place> places_;
   std::map<worker_id, std::set<run_key>> lapsed_;
+  // Runs of live jobs that were declared lost and whose end may still be
+  // reported. A gang or a long-running task is not completed by such an end.
+  std::set<run_key> lost_;
   std::set<task_key> suspects_;
   evacuations evacuations_;
   uint64_t next_order_ = 1;
--- a/fleet/late-end-test.cc
+++ b/fleet/late-end-test.cc
@@ -11,17 +11,17 @@
 namespace {
 
 /// How far the later start has come when the end is reported.
-enum class later_start { proposed, recorded };
+enum class later_start { proposed, recorded, sent, listed };
 
 }  // namespace
 
 TEST_GROUP(late_end){};
 
-// The end was acknowledged, but the later run, whose start had not been sent
-// yet, began all the same.
+// The end was acknowledged without effect once a later run had been started,
+// and that run began all the same.
 TEST(late_end, task_done_late_is_not_started_again) {
-  for (const later_start stage :
-       {later_start::proposed, later_start::recorded}) {
+  for (const later_start stage : {later_start::proposed, later_start::recorded,
+                                  later_start::sent, later_start::listed}) {
     test_world world;
     world.configure(1, 99);
     world.beat("a");
@@ -45,11 +45,19 @@
       world.commit();
       LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("b")).size());
     }
+    if (stage == later_start::sent) {
+      // The answer with the start is lost on its way.
+      world.commit();
+    }
+    const bool listed = stage == later_start::listed;
+    if (listed) world.beat("b");
     world.beat("a");
     world.beat("a");
     LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
-    world.beat("b");
-    LONGS_EQUAL(0, world.workers["b"].running_size());
+    const fleet::worker_orders orders = world.beat("b");
+    LONGS_EQUAL(listed ? 1 : 0, world.workers["b"].running_size());
+    if (listed || stage == later_start::sent)
+      CHECK_TRUE(orders.stops_size() > 0);
     LONGS_EQUAL(0, world.workers["a"].ended_size());
   }
 }
