Log how many calls of a worker that was given up on went unread

The record of the incident can't tell a worker that was put off or refused for a lease's length from one that was cut off: both show as silent. The line worker-heard-again is written when a worker calls whose runs were declared lost with its lease, with the number of its calls that this leader did not read.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -89,6 +89,7 @@
     record_ends_only(beat);
     return respond(make_response(fleet::fleet_ok, "over"));
   }
+  if (known_view != nullptr) log_heard_again(*known_view, beat);
   const auto [it, timely, wants_whole, misfit] =
       workers_.receive_heartbeat(beat);
   if (misfit) return reject_heartbeat(beat, "misfit", respond);
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -187,6 +187,8 @@
   bool is_over(const worker_id& worker);
   void log_overtaken(const fleet::worker_beat& beat, const worker_view& it);
   void log_new_incarnation(const worker_view& it) const;
+  void log_heard_again(const worker_view& before,
+                       const fleet::worker_beat& beat) const;
   bool is_starting_or_leaving(const worker_view& it) const;
   using listed_ends = google::protobuf::RepeatedPtrField<fleet::run_end>;
   void record_ends(worker_view& it, const listed_ends& ends, bool timely);
