Ends that are listed out of order are all taken in

The log keeps one number for each worker, up to which its ends are taken note of. An end listed behind one with a higher number was passed over and acknowledged unread, so that its task, done, was started again after its lease. The leader sorts the list by number.

late_end.end_listed_after_one_with_a_higher_number_is_dropped fails before (the job is not succeeded) and passes now. A number that is left out and comes later is still passed over: the protocol says of numbers only that they rise.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/text.h"
 #include "fleet/controller.h"
@@ -37,6 +38,17 @@
   return out;
 }
 
+/// The ends by number: the log keeps only the highest one acknowledged.
+std::vector<const fleet::run_end*> sort_by_number(
+    const google::protobuf::RepeatedPtrField<fleet::run_end>& ends) {
+  std::vector<const fleet::run_end*> out;
+  for (const fleet::run_end& it : ends) out.push_back(&it);
+  std::stable_sort(out.begin(), out.end(), [](const auto* a, const auto* b) {
+    return a->number() < b->number();
+  });
+  return out;
+}
+
 }  // namespace detail
 
 void fleet_controller::take_heartbeats(const fleet::beat_batch& batch,
@@ -175,11 +187,11 @@
   fleet::fleet_command command;
   fleet::worker_report& report = *command.mutable_report();
   report.set_worker(it.id.str());
-  for (const fleet::run_end& end : ends) {
-    if (end.number() <= last_known) continue;
-    *report.add_ends() = end;
-    it.last_end_proposed = std::max(it.last_end_proposed, end.number());
-    record_end(it, end);
+  for (const fleet::run_end* end : detail::sort_by_number(ends)) {
+    if (end->number() <= last_known) continue;
+    *report.add_ends() = *end;
+    it.last_end_proposed = std::max(it.last_end_proposed, end->number());
+    record_end(it, *end);
   }
   if (report.ends_size() == 0) return;
   count_refusals(it, report);
--- a/fleet/late-end-test.cc
+++ b/fleet/late-end-test.cc
@@ -98,3 +98,21 @@
   world.log.proposed.pop_front();
   LONGS_EQUAL(0, call("b").starts_size());
 }
+
+// Of two ends listed in reverse, the one with the lower number was acknowledged
+// unread.
+TEST(late_end, end_listed_after_one_with_a_higher_number_is_dropped) {
+  test_world world;
+  world.configure(1, 99);
+  world.beat("a");
+  world.submit(1, {test_world::make_step(2)});
+  world.beat("a");
+  const auto listed = world.workers["a"].running();
+  LONGS_EQUAL(2, listed.size());
+  for (const auto& row : listed) {
+    world.end("a", row.task(), row.run(), fleet::run_done);
+  }
+  world.workers["a"].mutable_ended()->SwapElements(0, 1);
+  world.beat("a");
+  LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
+}
