--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -1,11 +1,8 @@
-// Heartbeats and run ends, placement, and the decision cycle.
+// Heartbeats, placement, and the decision cycle.
 #include <algorithm>
-#include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
-#include "base/text.h"
 #include "fleet/controller.h"
 #include "kernel/log.h"
 
@@ -15,39 +12,6 @@
 constexpr const char* service_name = "controller";
 /// How often finished jobs are reviewed.
 constexpr milliseconds finished_jobs_review_interval{1'000};
-/// The first period in which a worker that fails its tasks is avoided.
-constexpr milliseconds first_avoidance{2'000};
-constexpr unsigned max_avoidance_doublings = 3;
-/// Events that occur many times a second on every worker are logged at `debug`
-/// only: with 350 workers they would be three quarters of all lines and
-/// displace rarer ones.
-log_level level_of(bool rare) {
-  return rare ? log_level::info : log_level::debug;
-}
-
-/// Formats the number of ends per outcome, such as `run_done:2,run_failed:1`.
-std::string count_outcomes(const fleet::worker_report& report) {
-  std::map<std::string, unsigned> counts;
-  for (const fleet::run_end& it : report.ends()) {
-    ++counts[fleet::run_outcome_Name(it.outcome())];
-  }
-  std::string out;
-  for (const auto& [name, n] : counts) {
-    str_append(out, out.empty() ? "" : ",", name, ":", n);
-  }
-  return out;
-}
-
-/// The ends by number: the log keeps only the highest one acknowledged.
-std::vector<const fleet::run_end*> sort_by_number(
-    const google::protobuf::RepeatedPtrField<fleet::run_end>& ends) {
-  std::vector<const fleet::run_end*> out;
-  for (const fleet::run_end& it : ends) out.push_back(&it);
-  std::stable_sort(out.begin(), out.end(), [](const auto* a, const auto* b) {
-    return a->number() < b->number();
-  });
-  return out;
-}
 
 }  // namespace detail
 
@@ -107,7 +71,7 @@
   if (misfit) return reject_heartbeat(beat, "misfit", respond);
   if (wants_whole) {
     const bool known = workers_.find(incarnation) != nullptr;
-    log_event(detail::service_name, detail::level_of(!known),
+    log_event(detail::service_name, known ? log_level::debug : log_level::info,
               "heartbeat-baseless")
         .with("worker", incarnation.str())
         .with("sequence", beat.sequence())
@@ -180,84 +144,6 @@
          it.first_heartbeat_at == it.last_heartbeat_at;
 }
 
-void fleet_controller::record_ends(worker_view& it, const listed_ends& ends,
-                                   bool timely) {
-  const uint64_t last_known =
-      std::max(book_.last_end(it.id), it.last_end_proposed);
-  fleet::fleet_command command;
-  fleet::worker_report& report = *command.mutable_report();
-  report.set_worker(it.id.str());
-  for (const fleet::run_end* end : detail::sort_by_number(ends)) {
-    if (end->number() <= last_known) continue;
-    *report.add_ends() = *end;
-    it.last_end_proposed = std::max(it.last_end_proposed, end->number());
-    record_end(it, *end);
-  }
-  if (report.ends_size() == 0) return;
-  count_refusals(it, report);
-  const bool rare = is_starting_or_leaving(it) || !timely;
-  log_event(detail::service_name, detail::level_of(rare), "ends-listed")
-      .with("worker", it.id.str())
-      .with("sequence", it.beat.sequence())
-      .with("first", report.ends(0).number())
-      .with("last", it.last_end_proposed)
-      .with("outcomes", detail::count_outcomes(report))
-      .with("timely", timely ? "yes" : "no")
-      .with("draining", it.beat.draining() ? "yes" : "no");
-  add_command(std::move(command));
-}
-
-void fleet_controller::record_end(worker_view& it, const fleet::run_end& end) {
-  ++metrics_.counter("kestrelreel_run_ends_total",
-                     {{"outcome", fleet::run_outcome_Name(end.outcome())}});
-  if (end.outcome() == fleet::run_done) {
-    pending_successes_.insert(to_key(end.task()));
-    it.failures = it.failed_jobs = it.refusals = it.avoided_times = 0;
-    return;
-  }
-  log_event(detail::service_name, log_level::info, "run-ended")
-      .with("task", to_text(to_key(end.task())))
-      .with("run", end.run())
-      .with("worker", it.id.str())
-      .with("outcome", fleet::run_outcome_Name(end.outcome()));
-  if (end.outcome() != fleet::run_failed) return;
-  const job_number job(end.task().job());
-  if (it.failures == 0 || job != it.failed_job) ++it.failed_jobs;
-  it.failed_job = job;
-  ++it.failures;
-  const bool is_faulty =
-      it.failures >= settings_.scheduling.avoid_after_failures &&
-      it.failed_jobs >= 2;
-  if (!is_faulty) return;
-  it.failures = it.failed_jobs = 0;
-  avoid_worker(it, "fails the tasks it starts");
-}
-
-/// Counts heartbeats with refusals. The refusals of one heartbeat are counted
-/// once, as they may all come from one shrinkage of the worker's capacity.
-void fleet_controller::count_refusals(worker_view& it,
-                                      const fleet::worker_report& report) {
-  const auto& ends = report.ends();
-  const bool refused = std::any_of(ends.begin(), ends.end(), [](auto& end) {
-    return end.outcome() == fleet::run_refused;
-  });
-  if (!refused || ++it.refusals < settings_.scheduling.avoid_after_failures)
-    return;
-  it.refusals = 0;
-  avoid_worker(it, "refuses the tasks it is sent");
-}
-
-void fleet_controller::avoid_worker(worker_view& it, const char* cause) {
-  const unsigned doublings =
-      std::min(it.avoided_times, detail::max_avoidance_doublings);
-  it.avoided_until = clock_.now() + detail::first_avoidance * (1U << doublings);
-  ++it.avoided_times;
-  log_event(detail::service_name, log_level::warn, "worker-avoided")
-      .with("worker", it.id.str())
-      .with("cause", cause)
-      .with("for-ms", (it.avoided_until - clock_.now()).count());
-}
-
 /// A leave only stops new work for the worker. The worker's last heartbeat may
 /// arrive later, by a slower path: declaring the runs lost now would restart
 /// tasks that are done and whose end is still in transit to the leader.
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -169,7 +169,7 @@
   void apply_one(const fleet::fleet_command& command);
   uint64_t pending_of(const fleet::queue_route& queue) const;
 
-  // Heartbeats, run ends and placement: controller-workers.cc and
+  // Heartbeats and placement: controller-workers.cc and
   // controller-lives.cc.
   /// `held` is called if the answer is held back. An empty `held` forbids
   /// holding.
@@ -190,11 +190,10 @@
   void log_heard_again(const worker_view& before,
                        const fleet::worker_beat& beat) const;
   bool is_starting_or_leaving(const worker_view& it) const;
+  // Ends of runs: controller-ends.cc.
   using listed_ends = google::protobuf::RepeatedPtrField<fleet::run_end>;
   void record_ends(worker_view& it, const listed_ends& ends, bool timely);
   void record_end(worker_view& it, const fleet::run_end& end);
-  // Ends reported late, or by a heartbeat that is otherwise ignored:
-  // controller-late-ends.cc.
   void record_ends_only(const fleet::worker_beat& beat);
   void settle_successes(const fleet::worker_report& report);
   void log_late_end(const std::string& worker, const job_book::late_end& it);
