Names that a rename made wrong

A pass of renames word by word hit other meanings of the same word, or left pairs half renamed. Names only; log keys, metrics, settings and proto names are as they were.

fleet_controller::find_fault, local: is_supported_command -> is_known (the worker has called; the function of that name in job-book means a command) on_heartbeat, binding of arrival::inconsistent: misfit -> inconsistent (the cause in the log and the metric stays "misfit") delayed_step::never_started -> includes_new (the entry counts interrupted tasks too; a local of placing.cc is never_started in its own sense) worker_groups::held_back -> throttled (backfill tasks, beside the group of held calls); pacing.cc, locals: held -> throttled_for, held_back -> throttled examine_unknown_worker -> examine_unheard_worker (it has a view of the worker, but no heartbeat) release_reservation, parameter in scheduler.h: where -> worker, as in the .cc Tests: controller-leases over -> expiry_delay; busy-leader-test-world way -> rtt, settled_at_ -> decided_at_, delay_boxes' answers, calls -> answer_delay, call_delay; refused-test-box settled_at_ -> decided_at_, settle_interval -> decision_interval

--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -74,10 +74,10 @@
 
   /// Sets the delays of the leader's answers to the first `n` boxes and of the
   /// calls of these boxes to the leader.
-  void delay_boxes(int n, milliseconds answers, milliseconds calls) {
+  void delay_boxes(int n, milliseconds answer_delay, milliseconds call_delay) {
     for (size_t i = 0; i < static_cast<size_t>(n); ++i) {
-      boxes_[i]->answer_delay = answers;
-      boxes_[i]->call_delay = calls;
+      boxes_[i]->answer_delay = answer_delay;
+      boxes_[i]->call_delay = call_delay;
     }
   }
 
@@ -155,9 +155,9 @@
     for (auto& box : boxes_) {
       std::optional<milliseconds> shortest;
       for (auto& other : boxes_) {
-        const auto way = other->intake.leader_rtt();
-        if (&other == &box || !way) continue;
-        shortest = shortest ? std::min(*shortest, *way) : *way;
+        const auto rtt = other->intake.leader_rtt();
+        if (&other == &box || !rtt) continue;
+        shortest = shortest ? std::min(*shortest, *rtt) : *rtt;
       }
       box->intake.set_best_peer_rtt(shortest);
     }
@@ -203,9 +203,9 @@
       return charged([this] { leader_.tick(); });
     }
     if (source == 1) {
-      const bool due = now - settled_at_ >= leader_.decision_interval();
+      const bool due = now - decided_at_ >= leader_.decision_interval();
       if (!leader_.has_pending_decisions() || !due) return 0;
-      settled_at_ = now;
+      decided_at_ = now;
       return charged([this] { leader_.decide(); });
     }
     if (source == 2) {
@@ -436,7 +436,7 @@
   uint64_t term_ = 1;
   int last_source_ = 0;
   time_point ticked_at_{};
-  time_point settled_at_{};
+  time_point decided_at_{};
 };
 
 }  // namespace kestrelreel::busy
--- a/fleet/controller-leases-test.cc
+++ b/fleet/controller-leases-test.cc
@@ -17,9 +17,10 @@
 
 TEST(controller_leases, silent_worker_keeps_its_task_until_its_lease_is_over) {
   start_one_task();
-  const milliseconds over = world.controller.workers().leases().expiry_delay();
+  const milliseconds expiry_delay =
+      world.controller.workers().leases().expiry_delay();
   world.beat("b");
-  for (milliseconds at{0}; at < over - milliseconds(300);
+  for (milliseconds at{0}; at < expiry_delay - milliseconds(300);
        at += milliseconds(100)) {
     world.pass(milliseconds(100));
     LONGS_EQUAL(0, world.beat("b").starts_size());
--- a/fleet/controller-lives.cc
+++ b/fleet/controller-lives.cc
@@ -38,10 +38,8 @@
   if (reports_birth && beat.born() == 0) return "no birth";
   if (beat.base() != 0 || names_pool(beat)) return nullptr;
   const worker_view* it = workers_.find(incarnation_of(beat));
-  const bool is_supported_command = it != nullptr && it->has_heartbeat;
-  return is_supported_command && it->beat.pool() == beat.pool()
-             ? nullptr
-             : "unknown pool";
+  const bool is_known = it != nullptr && it->has_heartbeat;
+  return is_known && it->beat.pool() == beat.pool() ? nullptr : "unknown pool";
 }
 
 void fleet_controller::reject_heartbeat(const fleet::worker_beat& beat,
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -88,9 +88,9 @@
     record_ends_only(beat);
     return respond(make_response(fleet::fleet_ok, "over"));
   }
-  const auto [it, timely, wants_whole, misfit] =
+  const auto [it, timely, wants_whole, inconsistent] =
       workers_.receive_heartbeat(beat);
-  if (misfit) return reject_heartbeat(beat, "misfit", respond);
+  if (inconsistent) return reject_heartbeat(beat, "misfit", respond);
   if (wants_whole) {
     const bool known = workers_.find(incarnation) != nullptr;
     log_event(detail::service_name, detail::level_of(!known),
--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -43,7 +43,7 @@
 /// Examines a worker that only an earlier leader heard from: only the recorded
 /// progress of suspects is known, and not whether other workers crashed at the
 /// same time, so that a mass crash is assumed.
-std::vector<crash_finding> examine_unknown_worker(const std::set<run_key>& runs,
+std::vector<crash_finding> examine_unheard_worker(const std::set<run_key>& runs,
                                                   const job_book& book) {
   std::vector<run_key> suspects;
   for (const run_key& run : runs) {
@@ -81,7 +81,7 @@
                                          const std::set<run_key>& runs,
                                          const job_book& book,
                                          bool others_crashed) {
-  if (!it.has_heartbeat) return detail::examine_unknown_worker(runs, book);
+  if (!it.has_heartbeat) return detail::examine_unheard_worker(runs, book);
   std::vector<crash_finding> out;
   std::vector<run_key> unlisted;
   std::vector<run_key> just_listed;
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -91,8 +91,8 @@
     }
   }
   std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.priority, a.never_started, a.cpu, a.since) <
-           std::tie(b.priority, b.never_started, b.cpu, b.since);
+    return std::tie(a.priority, a.includes_new, a.cpu, a.since) <
+           std::tie(b.priority, b.includes_new, b.cpu, b.since);
   });
   return out;
 }
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -159,7 +159,7 @@
                 [&](const auto& p) { return !it.rows.contains(p.first); });
   for (const backfill_task& backfill : tasks) {
     if (backfill.share < detail::throttled_share) {
-      workers_.groups().held_back.add(it);
+      workers_.groups().throttled.add(it);
       const auto since =
           it.throttled_since
               .try_emplace(backfill.run, it.last_timely_heartbeat_at)
@@ -178,12 +178,13 @@
                                const run_key& run) const {
   const auto since = it.throttled_since.find(run);
   if (since == it.throttled_since.end()) return false;
-  const milliseconds held = it.last_timely_heartbeat_at - since->second;
-  if (held < detail::move_after) return false;
+  const milliseconds throttled_for =
+      it.last_timely_heartbeat_at - since->second;
+  if (throttled_for < detail::move_after) return false;
   const auto row = it.rows.find(run);
   const fleet::step_spec* step = book_.find_step(run.task);
   if (row == it.rows.end() || step == nullptr || step->gang()) return false;
-  return held >= detail::forced_move_after || step->saves_progress() ||
+  return throttled_for >= detail::forced_move_after || step->saves_progress() ||
          row->second.percent() <= detail::early_progress_percent;
 }
 
@@ -204,9 +205,9 @@
     best = *value;
   }
   if (it == nullptr || it == &from) return nullptr;
-  const milliseconds held =
+  const milliseconds throttled_for =
       from.last_timely_heartbeat_at - from.throttled_since.at(run);
-  const double min_share = held >= detail::forced_move_after
+  const double min_share = throttled_for >= detail::forced_move_after
                                ? detail::min_forced_move_share
                                : detail::min_move_share;
   return expected_share(*it, step) >= min_share ? it : nullptr;
@@ -218,11 +219,11 @@
   std::vector<run_key> runs;
   std::vector<worker_view*> all;
   size_t searches = 0;
-  worker_set& held_back = workers_.groups().held_back;
-  held_back.retain_if(
+  worker_set& throttled = workers_.groups().throttled;
+  throttled.retain_if(
       [](const auto& it) { return !it.throttled_since.empty(); });
-  for (worker_view* throttled : held_back.starting_after(last_move_ordinal_)) {
-    worker_view& from = *throttled;
+  for (worker_view* it : throttled.starting_after(last_move_ordinal_)) {
+    worker_view& from = *it;
     last_move_ordinal_ = from.ordinal;
     for (const auto& [run, since] : from.throttled_since) {
       if (!may_move(from, run)) continue;
--- a/fleet/refused-test-box.h
+++ b/fleet/refused-test-box.h
@@ -18,7 +18,7 @@
 namespace kestrelreel::refused {
 
 constexpr milliseconds tick_interval{100};
-constexpr milliseconds settle_interval{15};
+constexpr milliseconds decision_interval{15};
 constexpr milliseconds lease_time{650};
 /// Log entries after which a snapshot is taken.
 constexpr uint64_t snapshot_entries = 40;
@@ -97,9 +97,9 @@
   void run_timers_and_disk() {
     run_disk();
     if (clock_.now() - ticked_at_ >= tick_interval) tick();
-    if (clock_.now() - settled_at_ < settle_interval) return;
+    if (clock_.now() - decided_at_ < decision_interval) return;
     if (!controller_->has_pending_decisions()) return;
-    settled_at_ = clock_.now();
+    decided_at_ = clock_.now();
     controller_->decide();
   }
 
@@ -193,7 +193,7 @@
   std::unique_ptr<fleet_controller> controller_;
   std::unique_ptr<replica> replica_;
   time_point ticked_at_{};
-  time_point settled_at_{};
+  time_point decided_at_{};
 };
 
 }  // namespace kestrelreel::refused
--- a/fleet/reservations.cc
+++ b/fleet/reservations.cc
@@ -295,7 +295,7 @@
                                        reservation_round& round) {
   reservation_result& out = round.result;
   if (reserved >= wait.tasks) return;
-  if (wait.never_started) {
+  if (wait.includes_new) {
     const job_entry& job = *book_.find(wait.first.job);
     const uint64_t available = new_task_capacity(
         book_.queue_of(job).pool(), wait.priority, tracking_of(wait.first.job));
@@ -308,7 +308,7 @@
   // Estimates are often far off. Without a limit an overdue task gets the
   // capacity that is free soonest, before small tasks take it piece by piece.
   const bool overdue =
-      !wait.never_started &&
+      !wait.includes_new &&
       clock_.now() - wait.since >= settings_.long_running_first_after;
   const milliseconds limit =
       overdue ? milliseconds::max() : settings_.reservation_ttl;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -177,7 +177,7 @@
     uint32_t tasks;
     uint64_t cpu;
     // Includes tasks that never started; interrupted ones have an entry too.
-    bool never_started;
+    bool includes_new;
   };
   /// State of one pass over all delayed steps.
   struct reservation_round {
@@ -345,7 +345,7 @@
   void drop_less_urgent(worker_view& worker, uint32_t priority,
                         reservation_round& round);
   size_t drop_stale();
-  void release_reservation(worker_view& where, const task_key& step);
+  void release_reservation(worker_view& worker, const task_key& step);
   void reserve_for_step(const delayed_step& wait, uint32_t& reserved,
                         reservation_round& round);
 
--- a/fleet/worker-set.h
+++ b/fleet/worker-set.h
@@ -94,7 +94,7 @@
   /// Workers whose leave is recorded.
   worker_set left;
   /// Workers whose backfill tasks may be throttled hard.
-  worker_set held_back;
+  worker_set throttled;
   /// Workers that may hold capacity reservations.
   worker_set with_reservations;
   /// Idle workers whose call is held because a task may become ready, by the
