Test names: which manner is meant where

Names followed two manners. Renamed are tests of contracts, older than any fault of theirs, whose names stated the failure as if it were wanted; no body changed.

job_book: outdated_start_changes_state -> outdated_start_is_ignored late_successful_end_of_lost_run_is_dropped -> late_successful_end_of_lost_run_counts successful_member_end_does_not_complete_gang -> successful_member_end_completes_gang member_checkpoint_is_not_shared_with_gang -> member_checkpoint_is_shared_with_gang gang_exceeds_max_attempts -> gang_fails_after_max_attempts loaded_state_differs_from_saved -> loaded_state_equals_saved invalid_job_is_accepted -> invalid_job_is_rejected queue_with_shorter_prefix_wins -> queue_with_longest_prefix_wins heartbeat_intake: differences_diverge_from_whole_heartbeats -> differences_give_the_state_of_whole_heartbeats unchanged_heartbeat_forwards_rows -> unchanged_heartbeat_forwards_no_rows difference_accepted_without_its_base -> difference_without_its_base_is_rejected new_leader_gets_only_differences -> new_leader_gets_whole_heartbeats unanswered_call_stays_pending -> unanswered_call_fails_within_a_second intake_directory: worker_sent_to_other_data_centre -> workers_call_in_their_data_centre workers_without_local_box_call_one_box -> workers_without_local_box_are_spread_over_all

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -72,7 +72,7 @@
   }
 };
 
-TEST(heartbeat_intake, differences_diverge_from_whole_heartbeats) {
+TEST(heartbeat_intake, differences_give_the_state_of_whole_heartbeats) {
   seeded_random random(5);
   uint32_t next = 0;
   for (int i = 0; i < 200; ++i) {
@@ -99,7 +99,7 @@
   LONGS_EQUAL(200, answers);
 }
 
-TEST(heartbeat_intake, unchanged_heartbeat_forwards_rows) {
+TEST(heartbeat_intake, unchanged_heartbeat_forwards_no_rows) {
   for (uint32_t i = 0; i < 20; ++i) add_row(i, 1);
   call();
   forward();
@@ -112,7 +112,7 @@
   CHECK_TRUE(batch.ByteSizeLong() < 40);
 }
 
-TEST(heartbeat_intake, difference_accepted_without_its_base) {
+TEST(heartbeat_intake, difference_without_its_base_is_rejected) {
   struct row {
     const char* name;
     bool leader_forgets;
@@ -182,7 +182,7 @@
   check_rows(*arrival.view);
 }
 
-TEST(heartbeat_intake, new_leader_gets_only_differences) {
+TEST(heartbeat_intake, new_leader_gets_whole_heartbeats) {
   add_row(1, 5);
   call();
   forward("L");
@@ -257,7 +257,7 @@
   }
 }
 
-TEST(heartbeat_intake, unanswered_call_stays_pending) {
+TEST(heartbeat_intake, unanswered_call_fails_within_a_second) {
   call();
   clock.advance(milliseconds(800));
   intake.expire();
@@ -271,7 +271,7 @@
 
 TEST_GROUP(intake_directory){};
 
-TEST(intake_directory, worker_sent_to_other_data_centre) {
+TEST(intake_directory, workers_call_in_their_data_centre) {
   struct row {
     const char* name;
     int silent_ms;
@@ -299,7 +299,7 @@
   }
 }
 
-TEST(intake_directory, workers_without_local_box_call_one_box) {
+TEST(intake_directory, workers_without_local_box_are_spread_over_all) {
   intake_directory directory(box_id("1"), data_centre_id("kumluca"), "1:1");
   fleet::box_hello hello;
   hello.set_data_centre("demre");
--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -48,7 +48,7 @@
   }
 };
 
-TEST(job_book, outdated_start_changes_state) {
+TEST(job_book, outdated_start_is_ignored) {
   put_config();
   submit(7, test_world::make_step(2));
   start(7, 0, 1, "a");
@@ -72,7 +72,7 @@
   CHECK_TRUE(task(7, 0).phase == task_phase::running);
 }
 
-TEST(job_book, late_successful_end_of_lost_run_is_dropped) {
+TEST(job_book, late_successful_end_of_lost_run_counts) {
   put_config();
   submit(7, test_world::make_step(1));
   start(7, 0, 1, "a");
@@ -87,7 +87,7 @@
   LONGS_EQUAL(fleet::job_succeeded, book.find(job_number(7))->phase);
 }
 
-TEST(job_book, successful_member_end_does_not_complete_gang) {
+TEST(job_book, successful_member_end_completes_gang) {
   put_config();
   fleet::step_spec step = test_world::make_step(3);
   step.set_gang(true);
@@ -100,7 +100,7 @@
   CHECK_TRUE(book.runs().empty());
 }
 
-TEST(job_book, member_checkpoint_is_not_shared_with_gang) {
+TEST(job_book, member_checkpoint_is_shared_with_gang) {
   put_config();
   fleet::step_spec step = test_world::make_step(2);
   step.set_gang(true);
@@ -111,7 +111,7 @@
   STRCMP_EQUAL("half", task(7, 1).saved.c_str());
 }
 
-TEST(job_book, gang_exceeds_max_attempts) {
+TEST(job_book, gang_fails_after_max_attempts) {
   put_config(2);
   fleet::step_spec step = test_world::make_step(2);
   step.set_gang(true);
@@ -124,7 +124,7 @@
   LONGS_EQUAL(fleet::job_failed, book.find(job_number(7))->phase);
 }
 
-TEST(job_book, loaded_state_differs_from_saved) {
+TEST(job_book, loaded_state_equals_saved) {
   put_config();
   submit(7, test_world::make_step(3));
   submit(8, test_world::make_step(1));
@@ -173,7 +173,7 @@
   LONGS_EQUAL(0, book.workers().size());
 }
 
-TEST(job_book, invalid_job_is_accepted) {
+TEST(job_book, invalid_job_is_rejected) {
   struct row {
     int error;
     bool valid;
@@ -190,7 +190,7 @@
   }
 }
 
-TEST(job_book, queue_with_shorter_prefix_wins) {
+TEST(job_book, queue_with_longest_prefix_wins) {
   fleet::fleet_config config = test_world::make_config(1);
   fleet::queue_route longer = config.queues(0);
   longer.set_name("longer");
