--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -66,9 +66,9 @@
     return respond(make_response(fleet::fleet_ok, "over"));
   }
   if (known_view != nullptr) log_heard_again(*known_view, beat);
-  const auto [it, timely, wants_whole, misfit] =
+  const auto [it, timely, wants_whole, inconsistent] =
       workers_.receive_heartbeat(beat);
-  if (misfit) return reject_heartbeat(beat, "misfit", respond);
+  if (inconsistent) return reject_heartbeat(beat, "misfit", respond);
   if (wants_whole) {
     const bool known = workers_.find(incarnation) != nullptr;
     log_event(detail::service_name, known ? log_level::debug : log_level::info,
