A voter keeps its answer to a leader when it learns of a later term

Two boxes hold the leader's lease at once, within its 0.65 s: the earlier one still grants leases to workers after the later one counts them as granted, so that a run whose lease holds may be declared lost.

Cause: the lease rests on a voter that answered a leader voting for nobody for election_ticks. The voter kept this only in its leader and the ticks since; a message of a later term that is not a leader's clears both. A candidate sends such a message when it refuses a pre-vote, and this may arrive after the voter has answered the earlier leader again (a link held up, or a connection that was replaced and is still read). The voter then votes for that candidate at once.

The delay after a restart now also begins with each answer to a leader. It counts ticks, as the lease allows for, and outlives a change of term. A leader that hands over has stepped down, so its successor's requests still pass.

--- a/consensus/leader-lease-test.cc
+++ b/consensus/leader-lease-test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <deque>
+#include <initializer_list>
 #include <memory>
 #include <vector>
 
@@ -199,3 +200,115 @@
   }
   CHECK_TRUE(conflicts > 0);
 }
+
+namespace {
+
+/// Three replicas with leases; the test delivers the messages.
+class lease_trio {
+ public:
+  explicit lease_trio(uint64_t seed) : random_(seed) {
+    raft_state state;
+    for (unsigned i = 0; i < box_count; ++i) {
+      proto::replica& voter = *state.founding.add_voters();
+      voter.set_box(str_cat("b", i));
+      voter.set_identity("founder");
+    }
+    for (unsigned i = 0; i < box_count; ++i) {
+      raft_settings settings;
+      settings.self = box_id(str_cat("b", i));
+      settings.identity = "founder";
+      settings.election_ticks = election_ticks;
+      replicas_.push_back(std::make_unique<raft>(settings, random_, state));
+      leases_.emplace_back(lease_time);
+    }
+  }
+
+  raft& at(unsigned i) { return *replicas_[i]; }
+  bool holds_lease(unsigned i) { return leases_[i].valid(at(i), now_); }
+  /// Lets 100 ms pass, with ticks of these replicas.
+  void tick_all(std::initializer_list<unsigned> boxes) {
+    now_ += tick;
+    for (const unsigned i : boxes) {
+      leases_[i].before_tick(now_);
+      at(i).tick();
+      leases_[i].after_tick(at(i));
+      send(i);
+    }
+  }
+  /// Delivers what is on its way from one replica to another.
+  void deliver(unsigned from, unsigned to) {
+    std::vector<proto::raft_message> due;
+    std::erase_if(sent_, [&](const proto::raft_message& m) {
+      const bool matches =
+          m.from() == str_cat("b", from) && m.to() == str_cat("b", to);
+      if (matches) due.push_back(m);
+      return matches;
+    });
+    for (const auto& m : due) at(to).step(m);
+    send(to);
+  }
+  /// Delivers between two replicas until nothing is on its way.
+  void exchange(unsigned a, unsigned b) {
+    for (int i = 0; i < 10; ++i) {
+      deliver(a, b);
+      deliver(b, a);
+    }
+  }
+
+ private:
+  void send(unsigned i) {
+    for (int n = 0; n < 5; ++n) {
+      raft_actions actions = at(i).take_actions();
+      for (auto& m : actions.messages) sent_.push_back(std::move(m));
+      if (actions.persist) at(i).persisted();
+    }
+  }
+
+  seeded_random random_;
+  std::vector<std::unique_ptr<raft>> replicas_;
+  std::vector<leader_lease> leases_;
+  std::vector<proto::raft_message> sent_;
+  time_point now_{10'000};
+};
+
+/// Makes b1 the leader, suspends it until b0 has asked the candidate b2 for a
+/// pre-vote, and lets b0 answer it again while what b2 sends b0 is delayed.
+void answer_leader_while_a_refusal_is_on_its_way(lease_trio& boxes) {
+  while (boxes.at(1).role() != raft_role::leader) {
+    boxes.tick_all({1});
+    boxes.exchange(1, 0);
+    boxes.exchange(1, 2);
+  }
+  while (boxes.at(2).role() != raft_role::pre_candidate ||
+         boxes.at(0).role() != raft_role::pre_candidate) {
+    boxes.tick_all({0, 2});
+  }
+  boxes.deliver(2, 0);
+  boxes.deliver(0, 2);
+  for (int i = 0; i < 6; ++i) boxes.tick_all({0, 2});
+  while (!boxes.holds_lease(1)) {
+    boxes.tick_all({0, 1, 2});
+    boxes.exchange(1, 0);
+  }
+}
+
+}  // namespace
+
+// A voter that had just answered the leader learned of a later term from the
+// refusal of a pre-vote that it had asked for before, and forgot the leader: it
+// voted at once, while the leader still held the lease.
+TEST(leader_lease, refused_pre_vote_comes_after_the_leader_was_answered) {
+  unsigned elected = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    lease_trio boxes(seed);
+    answer_leader_while_a_refusal_is_on_its_way(boxes);
+    for (int i = 0; i < 30; ++i) {
+      boxes.exchange(0, 2);
+      CHECK_FALSE_TEXT(boxes.holds_lease(1) && boxes.holds_lease(2),
+                       str_cat("seed ", seed, ", tick ", i).c_str());
+      boxes.tick_all({0, 1, 2});
+    }
+    elected += boxes.at(2).role() == raft_role::leader ? 1 : 0;
+  }
+  CHECK_TRUE(elected > 0);
+}
--- a/consensus/raft-install.cc
+++ b/consensus/raft-install.cc
@@ -44,9 +44,7 @@
 /// Handles a part of the leader's snapshot; the last part installs the
 /// snapshot.
 void raft::on_install_part(const proto::raft_message& m) {
-  if (role_ != raft_role::follower) become_follower(term_, m.from());
-  leader_ = m.from();
-  elapsed_ticks_ = 0;
+  follow(m.from());
   const proto::log_snapshot& part = m.snapshot();
   const bool already_covered =
       part.index() <= commit_ || (log_.has_term(part.index()) &&
--- a/consensus/raft-replication.cc
+++ b/consensus/raft-replication.cc
@@ -54,9 +54,7 @@
 }
 
 void raft::on_append(const proto::raft_message& m) {
-  if (role_ != raft_role::follower) become_follower(term_, m.from());
-  leader_ = m.from();
-  elapsed_ticks_ = 0;
+  follow(m.from());
   const uint64_t previous = m.log_index();
   if (previous > log_.last_index()) return reject_append(m);
   const bool covered = previous < log_.snapshot_index();
@@ -101,9 +99,7 @@
 }
 
 void raft::on_install(const proto::raft_message& m) {
-  if (role_ != raft_role::follower) become_follower(term_, m.from());
-  leader_ = m.from();
-  elapsed_ticks_ = 0;
+  follow(m.from());
   const uint64_t index = m.snapshot().index();
   // A log that holds the snapshot's last entry also holds all earlier entries,
   // and may hold acknowledged later ones, so the log is kept.
--- a/consensus/raft.cc
+++ b/consensus/raft.cc
@@ -204,6 +204,16 @@
   return !leader_.empty() && elapsed_ticks_ < settings_.election_ticks;
 }
 
+/// Accepts a message of the leader of this term. The leader counts its lease on
+/// the answer, so the vote delay holds even if this replica learns of a later
+/// term that has no leader.
+void raft::follow(const std::string& leader) {
+  if (role_ != raft_role::follower) become_follower(term_, leader);
+  leader_ = leader;
+  elapsed_ticks_ = 0;
+  vote_delay_ticks_ = settings_.election_ticks;
+}
+
 void raft::step(const proto::raft_message& m) {
   const bool member = is_member(members(), m.from(), m.from_identity());
   if (role_ == raft_role::leader && !member) {
--- a/consensus/raft.h
+++ b/consensus/raft.h
@@ -164,6 +164,7 @@
   bool may_vote_for(const proto::raft_message& m) const;
   bool reject_outdated(const proto::raft_message& m);
   bool has_recent_leader() const;
+  void follow(const std::string& leader);
   static bool is_from_leader(const proto::raft_message& m);
   void adopt_term(const proto::raft_message& m);
   void leader_tick();
@@ -231,7 +232,8 @@
   unsigned elapsed_ticks_ = 0;
   unsigned timeout_ticks_ = 0;
   unsigned heartbeat_elapsed_ticks_ = 0;
-  // Ticks until this replica may vote after a restart.
+  // Ticks until this replica may vote, after a restart or an answer to a
+  // leader.
   unsigned vote_delay_ticks_ = 0;
   uint64_t round_ = 0;
   std::set<std::string> votes_;
