Test: a new leader starts no task that is reported done late

The change of leader form of the fault that the book mended: only the leader that placed the later run knew that its start was in no answer yet.

--- a/fleet/late-end-test.cc
+++ b/fleet/late-end-test.cc
@@ -116,3 +116,32 @@
   world.beat("a");
   LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
 }
+
+// A new leader does not know whether an earlier one sent a start: the end of
+// the earlier run was acknowledged, and the start was sent all the same.
+TEST(late_end, new_leader_starts_a_task_done_late) {
+  test_world world;
+  world.configure(1, 99);
+  world.beat("a");
+  world.submit(1, {test_world::make_step(1)});
+  world.beat("a");
+  const fleet::task_ref task = world.workers["a"].running(0).task();
+  world.pass(milliseconds(4'300));
+  LONGS_EQUAL(0, world.controller.book().runs_on(worker_id("a")).size());
+  fleet::fleet_request call;
+  *call.mutable_beat() = world.next_heartbeat("b");
+  world.controller.request(call, [](const fleet::fleet_response&) {});
+  world.controller.decide();
+  world.clock.advance(milliseconds(1'000));
+  world.commit();
+  LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("b")).size());
+  ++world.log.leader_term;
+  world.controller.set_leading(true);
+  world.end("a", task, 1, fleet::run_done);
+  world.beat("a");
+  world.beat("a");
+  LONGS_EQUAL(0, world.workers["a"].ended_size());
+  world.beat("b");
+  LONGS_EQUAL(0, world.workers["b"].running_size());
+  LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
+}
