A copy of a pending call gets the call's own answer

What callers may see: a task waits for one more heartbeat of its worker, and a start counts as sent although its worker never got it.

Cause: such a box forwards its waiting calls again, to the same leader with the same sequence. The leader took the copy for overtaken and said so at once; for the box that answer ended the call, and the orders found none.

late_intake.call_forwarded_twice_gets_no_orders fails before ("overtaken", no start) and passes now: the copy waits with the call.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -84,7 +84,9 @@
     return respond(std::move(response));
   }
   if (it == nullptr) {
-    log_overtaken(beat, *workers_.find(incarnation));
+    worker_view& view = *workers_.find(incarnation);
+    if (is_pending_call(view, beat)) return join_call(view, respond);
+    log_overtaken(beat, view);
     return respond(make_response(fleet::fleet_ok, "overtaken"));
   }
   ++heartbeats_since_tick_;
@@ -113,6 +115,24 @@
   has_pending_decisions_ = true;
 }
 
+/// A box that loses sight of the leader forwards its pending calls again.
+bool fleet_controller::is_pending_call(const worker_view& it,
+                                       const fleet::worker_beat& beat) {
+  return it.respond && it.beat.sequence() == beat.sequence() &&
+         it.beat.clock_ms() == beat.clock_ms();
+}
+
+/// Gives the copy of a pending call the same answer: any other answer would
+/// end the call before its orders arrive.
+void fleet_controller::join_call(worker_view& it,
+                                 const respond_function& respond) {
+  it.respond = [first = std::move(it.respond),
+                respond](const fleet::fleet_response& response) {
+    first(response);
+    respond(response);
+  };
+}
+
 void fleet_controller::update_paces_if_due(worker_view& it) {
   constexpr uint64_t ms_per_s = 1'000;
   const milliseconds interval(static_cast<int64_t>(
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -176,6 +176,9 @@
   void on_heartbeat(const fleet::worker_beat& beat,
                     const respond_function& respond,
                     const std::function<void()>& held = {});
+  static bool is_pending_call(const worker_view& it,
+                              const fleet::worker_beat& beat);
+  static void join_call(worker_view& it, const respond_function& respond);
   void on_leave(const std::string& name, uint64_t born,
                 const respond_function& respond);
   bool names_pool(const fleet::worker_beat& beat) const;
--- a/fleet/late-intake-test.cc
+++ b/fleet/late-intake-test.cc
@@ -65,3 +65,35 @@
     LONGS_EQUAL_TEXT(0, out.lapsed, it.name);
   }
 }
+
+// A box that lost sight of the leader for a moment forwarded its calls again.
+// The leader took the copies for overtaken, and its orders answered no call.
+TEST(late_intake, call_forwarded_twice_gets_no_orders) {
+  test_world world;
+  world.configure(1, 99);
+  heartbeat_intake intake{{}, world.clock, world.metrics};
+  fleet::fleet_response got;
+  int answered = 0;
+  fleet::beat_answers answers;
+  const auto add = [&](const auto& it) { *answers.add_answers() = it; };
+  const auto handle = [&] {
+    intake.handle_answers(answers);
+    answers.clear_answers();
+  };
+  world.submit(1, {test_world::make_step(1)});
+  intake.take(world.next_heartbeat("a"), [&](const auto& it) {
+    got = it;
+    ++answered;
+  });
+  world.controller.take_heartbeats(intake.collect("L"), add);
+  world.controller.decide();
+  intake.leader_changed();
+  world.controller.take_heartbeats(intake.collect("L"), add);
+  handle();
+  world.commit();
+  handle();
+  LONGS_EQUAL(1, answered);
+  LONGS_EQUAL(1, world.controller.book().runs_on(worker_id("a")).size());
+  STRCMP_EQUAL("", got.reason().c_str());
+  LONGS_EQUAL(1, got.orders().starts_size());
+}
