A worker with a slow clock is not taken for answered

Cause: heartbeats that got no answer lie 1 s apart; heartbeats closer together by the worker's clock show that it got one, and only such an incarnation can outlive another at its machine or address. A clock that runs 2% slow shows 980 ms. Held-up heartbeats of a crashed incarnation so outlived its successor.

The limit is now reduced by the drift that leases allow for. A worker that did get an answer calls after its pause, 0.2 to 0.3 s, well below both.

--- a/fleet/over-life-test.cc
+++ b/fleet/over-life-test.cc
@@ -86,6 +86,13 @@
   LONGS_EQUAL(1, runs_at("live"));
 }
 
+// A clock that runs 2% slow shows 980 ms between two such heartbeats.
+TEST(over_life, unanswered_heartbeats_by_a_slow_clock_end_a_live_incarnation) {
+  constexpr int64_t answer_limit_by_slow_clock_ms = 980;
+  send_heartbeats_beside_silent_run(answer_limit_by_slow_clock_ms);
+  LONGS_EQUAL(1, runs_at("live"));
+}
+
 TEST(over_life, answered_heartbeats_end_the_earlier_incarnation) {
   constexpr int64_t answered_in_time_ms = 900;
   send_heartbeats_beside_silent_run(answered_in_time_ms);
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -194,16 +194,19 @@
   return timely;
 }
 
-/// A worker without an answer calls again after the answer limit by its own
-/// clock. A call that follows sooner shows that the worker got an answer. So
-/// does a call that waited out a call interval of about the limit or longer.
+/// A worker without an answer calls again after the answer limit, which a slow
+/// clock of its own shows as less. A call that follows sooner shows that the
+/// worker got an answer. So does a call that waited out a call interval of
+/// about the limit or longer.
 bool worker_table::shows_answer(const worker_view& it,
                                 const fleet::worker_beat& next) const {
   if (!it.has_heartbeat || next.sequence() != it.beat.sequence() + 1)
     return false;
   const milliseconds elapsed(
       static_cast<int64_t>(next.clock_ms() - it.beat.clock_ms()));
-  if (elapsed < leases_.answer_limit) return true;
+  const milliseconds least_unanswered =
+      leases_.answer_limit - leases_.answer_limit * leases_.drift_percent / 100;
+  if (elapsed < least_unanswered) return true;
   return it.call_interval + detail::call_slack >= leases_.answer_limit &&
          elapsed >= it.call_interval;
 }
