An outlived incarnation stays over while its successor calls

Cause: an incarnation that was declared over is taken for alive after two heartbeats 0.8 s apart, unless a later one called in between. Only incarnations under the same id were asked; one under another id, at the same machine or address, was not, although it is what the first was declared over for.

Now an incarnation there that got an answer and called since is asked too. One that was declared over by mistake comes back once the other falls silent.

--- a/fleet/over-life-test.cc
+++ b/fleet/over-life-test.cc
@@ -99,6 +99,27 @@
   LONGS_EQUAL(0, runs_at("live"));
 }
 
+// The successor at the machine keeps calling, so that the heartbeats can only
+// be delayed. The task runs there again by then.
+TEST(over_life, end_of_an_outlived_incarnation_is_acknowledged_late) {
+  send_heartbeats_beside_silent_run(900);
+  LONGS_EQUAL(0, runs_at("live"));
+  fleet::run_end& end = *world.workers["live"].add_ended();
+  end.set_number(1);
+  *end.mutable_task() = to_ref({job_number(7), 0, 0, 0});
+  end.set_run(1);
+  end.set_outcome(fleet::run_done);
+  for (int i = 0; i < 4; ++i) {
+    const fleet::worker_orders orders =
+        send_heartbeat("live", 5'300 + 900 * i).orders();
+    LONGS_EQUAL(0, orders.last_end());
+    LONGS_EQUAL(0, orders.hold_ms());
+    world.pass(milliseconds(450));
+    send_heartbeat("other", 903'000 + 900 * i);
+    world.pass(milliseconds(450));
+  }
+}
+
 TEST(over_life, delayed_heartbeats_do_not_revive_an_incarnation) {
   world.configure();
   send_heartbeat("a", 5'000);
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -75,7 +75,8 @@
   const time_point now = clock_.now();
   const bool later_called =
       later != nullptr && later->last_heartbeat_at >= first.at;
-  if (!std::exchange(first.received, true) || later_called) {
+  if (!std::exchange(first.received, true) || later_called ||
+      successor_called(beat, first.at)) {
     first.at = now;
     first.clock_ms = beat.clock_ms();
     return true;
@@ -86,6 +87,21 @@
          worker_elapsed < incarnation_proof_time;
 }
 
+/// True when another incarnation at the machine or the address of `beat`, which
+/// got an answer, has called since then: only one of them is alive.
+bool worker_table::successor_called(const fleet::worker_beat& beat,
+                                    time_point since) const {
+  const worker_id id = incarnation_of(beat);
+  for (const auto& neighbours :
+       {at_place(beat.machine()), at_place(beat.address())}) {
+    for (const worker_view* it : neighbours) {
+      if (it->id != id && it->got_answer && it->last_heartbeat_at >= since)
+        return true;
+    }
+  }
+  return false;
+}
+
 worker_view& worker_table::find_or_add(const worker_id& id) {
   if (worker_view* known = find(id)) return *known;
   worker_view& it = views_[id];
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -239,7 +239,8 @@
   /// True while a heartbeat of an ended incarnation, or of one with a known
   /// later start, counts as delayed. An incarnation that keeps calling for
   /// `incarnation_proof_time` by the leader's clock and by its own, without a
-  /// call of the later one, was declared ended by mistake and is reinstated:
+  /// call of the later one or of an answered one at its machine or address, was
+  /// declared ended by mistake and is reinstated:
   /// the clocks that start times are read from may be set back.
   bool stays_ended(const fleet::worker_beat& beat);
   worker_view* find(const worker_id& id);
@@ -280,6 +281,7 @@
   void update_place(worker_view& it, const fleet::worker_beat& beat);
   std::optional<worker_id> find_predecessor(const worker_view& it) const;
   const worker_view* later_incarnation(const worker_id& id);
+  bool successor_called(const fleet::worker_beat& beat, time_point since) const;
   void update_superseded(const std::string& name);
   void drop_old_incarnations();
 
