--- a/fleet/slow-leader-test.cc
+++ b/fleet/slow-leader-test.cc
@@ -21,3 +21,41 @@
   };
   slow::check_rows(rows);
 }
+
+// Several starts and losses of one worker are in flight at once.
+TEST(slow_leader, no_task_runs_twice_while_commits_are_slow) {
+  constexpr milliseconds slow{300};
+  const faults rows[] = {
+      {.name = "slow commits", .commit_time = slow},
+      {.name = "and answers are lost", .commit_time = slow, .lost_answer = 10},
+      {.name = "and workers are cut off", .cut = 60, .commit_time = slow},
+      {.name = "and workers leave", .leave = 50, .commit_time = slow},
+      {.name = "through other boxes, which stall",
+       .stall = 150,
+       .intakes = true,
+       .commit_time = slow},
+  };
+  slow::check_rows(rows);
+}
+
+TEST(slow_leader, heartbeats_of_crashed_workers_come_after_their_successors) {
+  const faults rows[] = {
+      {.name = "workers crash and are cut off",
+       .crash = 40,
+       .cut = 30,
+       .crashed_listen = true},
+      {.name = "and leaders change, through other boxes",
+       .election = 150,
+       .crash = 40,
+       .cut = 30,
+       .intakes = true,
+       .crashed_listen = true},
+      {.name = "and clocks are slow",
+       .election = 300,
+       .crash = 60,
+       .cut = 40,
+       .crashed_listen = true,
+       .slow_clocks = true},
+  };
+  slow::check_rows(rows);
+}
--- a/fleet/slow-restart-test.cc
+++ b/fleet/slow-restart-test.cc
@@ -29,6 +29,20 @@
        0, true},
       {"through other boxes, all faults", 300, 300, 200, 3, 150, 100, false,
        100, 4, true},
+      {.name = "through other boxes, all faults, slow commits and clocks",
+       .stall = 300,
+       .election = 300,
+       .crash = 200,
+       .slow_read = 3,
+       .cut = 150,
+       .leave = 100,
+       .restart = 100,
+       .clock_set_back = 4,
+       .intakes = true,
+       .commit_time = milliseconds(300),
+       .lost_answer = 20,
+       .crashed_listen = true,
+       .slow_clocks = true},
   };
   slow::check_rows(rows);
 }
--- a/fleet/slow-test-parts.h
+++ b/fleet/slow-test-parts.h
@@ -63,6 +63,14 @@
   unsigned clock_set_back = 0;
   // Workers call any box, which forwards the differences to the leader.
   bool intakes = false;
+  // The longest time that a commit takes.
+  milliseconds commit_time{60};
+  // One of `n` answers is lost after it was given.
+  unsigned lost_answer = 0;
+  // What is acknowledged to a crashed worker counts while its lease lasts.
+  bool crashed_listen = false;
+  // The workers' clocks run 2% slow.
+  bool slow_clocks = false;
 };
 
 class slow_world;
@@ -143,6 +151,8 @@
   uint64_t end_number = 0;
   std::map<task_key, run_number> highest;
   time_point lease{};
+  // Share of the time that the worker's clock shows.
+  int clock_percent = 100;
   uint64_t fence = 0;
   int timed_out_calls = 0;
   // Sequence number of the unanswered call; 0: none.
@@ -164,7 +174,8 @@
   beat.set_pool("pool");
   beat.set_address(it.address);
   beat.set_sequence(it.sequence);
-  beat.set_clock_ms(static_cast<uint64_t>((now - it.born).count()) + 1);
+  const milliseconds own_age = (now - it.born) * it.clock_percent / 100;
+  beat.set_clock_ms(static_cast<uint64_t>(own_age.count()) + 1);
   beat.set_draining(it.leaves_at.has_value());
   if (it.leaves_at) {
     const milliseconds left = *it.leaves_at - now;
@@ -181,6 +192,24 @@
   return beat;
 }
 
+/// Adds the run's end to the worker's list.
+inline const fleet::run_end& list_end(simulated_worker& it, run_key run,
+                                      fleet::run_outcome outcome) {
+  fleet::run_end& end = it.ended.emplace_back();
+  end.set_number(++it.end_number);
+  *end.mutable_task() = to_ref(run.task);
+  end.set_run(static_cast<uint32_t>(run.run.value()));
+  end.set_outcome(outcome);
+  return end;
+}
+
+/// Returns a job of so many short tasks.
+inline fleet::fleet_request make_job(uint64_t job, uint64_t tasks) {
+  fleet::step_spec step = test_world::make_step(static_cast<uint32_t>(tasks));
+  step.set_estimate_ms(400);
+  return test_world::make_submit(job, {step});
+}
+
 /// Handles the leader's answers that have arrived.
 inline void read_replies(box& it, time_point now) {
   std::erase_if(it.replies, [&](const forwarded_answer& reply) {
--- a/fleet/slow-test-world.h
+++ b/fleet/slow-test-world.h
@@ -47,7 +47,7 @@
   absl::Status propose(int b, const fleet::fleet_command& command) {
     if (leader_ != b) return absl::UnavailableError("does not lead");
     proposals_.push_back(
-        {clock_.now() + draws_.up_to(milliseconds(60)), command});
+        {clock_.now() + draws_.up_to(faults_.commit_time), command});
     return absl::OkStatus();
   }
 
@@ -64,9 +64,16 @@
     it.address = address;
     it.id = it.name = "w" + std::to_string(++incarnations_);
     it.born = clock_.now();
+    if (faults_.slow_clocks) it.clock_percent = 98;
     it.born_ms = start_unix_ms + static_cast<uint64_t>(it.born.count());
   }
 
+  /// Its heartbeats in transit arrive after those of the next incarnation.
+  void crash(simulated_worker& it) {
+    if (faults_.crashed_listen) left_leases_[it.id] = it.lease;
+    start_incarnation(it);
+  }
+
   /// Restarts the worker under its name. A network cut may outlast the crash.
   void restart(simulated_worker& it) {
     const std::string name = it.name;
@@ -107,9 +114,7 @@
         it.stalled_until = clock_.now() + draws_.up_to(milliseconds(5'000));
       }
     }
-    if (happens(faults_.crash)) {
-      start_incarnation(workers_[draws_.draw(workers)]);
-    }
+    if (happens(faults_.crash)) crash(workers_[draws_.draw(workers)]);
     if (happens(faults_.restart)) restart(workers_[draws_.draw(workers)]);
     if (happens(faults_.cut)) {
       workers_[draws_.draw(workers)].cut_until =
@@ -191,6 +196,7 @@
       const auto respond = [this, id = h.incarnation,
                             n = h.beat.sequence()](fleet::fleet_response r) {
         if (left_leases_.contains(id)) drop_ended(id, r.orders().last_end());
+        if (happens(faults_.lost_answer)) return;
         answers_.push_back({clock_.now() + delay(), id, n, r.orders()});
       };
       if (faults_.intakes && !it.controller->leading()) {
@@ -230,21 +236,13 @@
 
   void submit() {
     if (leader_ < 0 || !draws_.one_in(15)) return;
-    fleet::step_spec step =
-        test_world::make_step(static_cast<uint32_t>(1 + draws_.draw(3)));
-    step.set_estimate_ms(400);
-    boxes_[leader_].controller->request(
-        test_world::make_submit(++jobs_, {step}),
-        [](const fleet::fleet_response&) {});
+    boxes_[leader_].controller->request(make_job(++jobs_, 1 + draws_.draw(3)),
+                                        [](const fleet::fleet_response&) {});
   }
 
   void end_run(simulated_worker& it, run_key run, fleet::run_outcome outcome) {
     it.runs.erase(run);
-    fleet::run_end& end = it.ended.emplace_back();
-    end.set_number(++it.end_number);
-    *end.mutable_task() = to_ref(run.task);
-    end.set_run(static_cast<uint32_t>(run.run.value()));
-    end.set_outcome(outcome);
+    const fleet::run_end& end = list_end(it, run, outcome);
     if (outcome != fleet::run_done) return;
     ++done_;
     successful_end success{it.id, end.number(), clock_.now()};
@@ -332,9 +330,8 @@
     if (clock_.now() - it.sent >= answer_limit) return;
     if (orders.hold_ms() == 0 || orders.fence() < it.fence) return;
     it.fence = orders.fence();
-    it.lease = std::max(
-        it.lease,
-        it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
+    const milliseconds hold(static_cast<int64_t>(orders.hold_ms()));
+    it.lease = std::max(it.lease, it.sent + hold * 100 / it.clock_percent);
     drop_ended(it.id, orders.last_end());
     for (const auto& stop : orders.stops()) {
       const run_key run{to_key(stop.task()), run_number(stop.run())};
@@ -378,7 +375,7 @@
   std::deque<proposal> proposals_;
   std::vector<fleet::fleet_command> committed_;
   end_tracker ends_;
-  // Workers that left, and the time at which the lease of each expires.
+  // Workers that left or crashed, and the time at which each one's lease ends.
   std::map<std::string, time_point> left_leases_;
   int leader_ = -1;
   uint64_t term_ = 0;
