--- a/fleet/over-life-test.cc
+++ b/fleet/over-life-test.cc
@@ -86,12 +86,40 @@
   LONGS_EQUAL(1, runs_at("live"));
 }
 
+// A clock that runs 2% slow shows 980 ms between two such heartbeats.
+TEST(over_life, unanswered_heartbeats_by_a_slow_clock_end_a_live_incarnation) {
+  constexpr int64_t answer_limit_by_slow_clock_ms = 980;
+  send_heartbeats_beside_silent_run(answer_limit_by_slow_clock_ms);
+  LONGS_EQUAL(1, runs_at("live"));
+}
+
 TEST(over_life, answered_heartbeats_end_the_earlier_incarnation) {
   constexpr int64_t answered_in_time_ms = 900;
   send_heartbeats_beside_silent_run(answered_in_time_ms);
   LONGS_EQUAL(0, runs_at("live"));
 }
 
+// The successor at the machine keeps calling, so that the heartbeats can only
+// be delayed. The task runs there again by then.
+TEST(over_life, end_of_an_outlived_incarnation_is_acknowledged_late) {
+  send_heartbeats_beside_silent_run(900);
+  LONGS_EQUAL(0, runs_at("live"));
+  fleet::run_end& end = *world.workers["live"].add_ended();
+  end.set_number(1);
+  *end.mutable_task() = to_ref({job_number(7), 0, 0, 0});
+  end.set_run(1);
+  end.set_outcome(fleet::run_done);
+  for (int i = 0; i < 4; ++i) {
+    const fleet::worker_orders orders =
+        send_heartbeat("live", 5'300 + 900 * i).orders();
+    LONGS_EQUAL(0, orders.last_end());
+    LONGS_EQUAL(0, orders.hold_ms());
+    world.pass(milliseconds(450));
+    send_heartbeat("other", 903'000 + 900 * i);
+    world.pass(milliseconds(450));
+  }
+}
+
 TEST(over_life, delayed_heartbeats_do_not_revive_an_incarnation) {
   world.configure();
   send_heartbeat("a", 5'000);
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -75,7 +75,8 @@
   const time_point now = clock_.now();
   const bool later_called =
       later != nullptr && later->last_heartbeat_at >= first.at;
-  if (!std::exchange(first.received, true) || later_called) {
+  if (!std::exchange(first.received, true) || later_called ||
+      successor_called(beat, first.at)) {
     first.at = now;
     first.clock_ms = beat.clock_ms();
     return true;
@@ -86,6 +87,21 @@
          worker_elapsed < incarnation_proof_time;
 }
 
+/// True when another incarnation at the machine or the address of `beat`, which
+/// got an answer, has called since then: only one of them is alive.
+bool worker_table::successor_called(const fleet::worker_beat& beat,
+                                    time_point since) const {
+  const worker_id id = incarnation_of(beat);
+  for (const auto& neighbours :
+       {at_place(beat.machine()), at_place(beat.address())}) {
+    for (const worker_view* it : neighbours) {
+      if (it->id != id && it->got_answer && it->last_heartbeat_at >= since)
+        return true;
+    }
+  }
+  return false;
+}
+
 worker_view& worker_table::find_or_add(const worker_id& id) {
   if (worker_view* known = find(id)) return *known;
   worker_view& it = views_[id];
@@ -194,16 +210,19 @@
   return timely;
 }
 
-/// A worker without an answer calls again after the answer limit by its own
-/// clock. A call that follows sooner shows that the worker got an answer. So
-/// does a call that waited out a call interval of about the limit or longer.
+/// A worker without an answer calls again after the answer limit, which a slow
+/// clock of its own shows as less. A call that follows sooner shows that the
+/// worker got an answer. So does a call that waited out a call interval of
+/// about the limit or longer.
 bool worker_table::shows_answer(const worker_view& it,
                                 const fleet::worker_beat& next) const {
   if (!it.has_heartbeat || next.sequence() != it.beat.sequence() + 1)
     return false;
   const milliseconds elapsed(
       static_cast<int64_t>(next.clock_ms() - it.beat.clock_ms()));
-  if (elapsed < leases_.answer_limit) return true;
+  const milliseconds least_unanswered =
+      leases_.answer_limit - leases_.answer_limit * leases_.drift_percent / 100;
+  if (elapsed < least_unanswered) return true;
   return it.call_interval + detail::call_slack >= leases_.answer_limit &&
          elapsed >= it.call_interval;
 }
