A call after another box's is forwarded whole

What callers saw: a worker that came back to its own box was unread for one more turn of the box's window, and its lease could run out meanwhile.

Cause: a box remembers for 10 s what it told the leader of a worker, and sent the difference to that although the worker had called other boxes since. The leader, which builds on the other box's call, refuses: such a call is not taken in. The whole heartbeat that it asks for is over 100 ms old by then, gives way to every other waiting call and is put off with a 2xx, and the turn is used up.

Evidence: the simulation counted refused differences as read.

Why it works: the worker's sequence counts its calls. Where it skips, another box had calls in between, and the heartbeat goes whole at once.

Not mended: calls that are put off time and again.

difference_accepted_without_its_base made its stale difference by skipping a sequence, which no box sends any more. Its call is now copied to both boxes and not forwarded by one; the checks are the same.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -130,7 +130,8 @@
     answer(beat.sequence());
     if (it.leader_forgets) fresh.clear();
     if (it.forwarded_elsewhere) {
-      beat.set_sequence(beat.sequence() + 1);
+      // A copy that is not forwarded here: the sequence shows no other box.
+      call();
       fresh.receive_heartbeat(beat);
     }
     add_row(2, 6);
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -52,6 +52,8 @@
     std::exchange(it.respond, nullptr)(
         detail::plain_response(fleet::fleet_ok, "overtaken"));
   }
+  // The worker has called another box since: the leader may build on that call.
+  if (beat.sequence() != it.beat.sequence() + 1) it.known_to.clear();
   it.beat = std::move(beat);
   it.respond = std::move(respond);
   it.called_at = clock_.now();
--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -218,6 +218,8 @@
   // leader.
   milliseconds answer_delay{0};
   milliseconds call_delay{0};
+  // Nothing passes between the box and the leader.
+  bool cut_off = false;
 };
 /// A log entry that is committed at `due_at`.
 struct entry {
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -81,6 +81,9 @@
     }
   }
 
+  /// Cuts the first box off from the leader, or connects it again.
+  void cut_first_box(bool cut_off) { boxes_[0]->cut_off = cut_off; }
+
   void set_jobs_per_s(double n) { scenario_.jobs_per_s = n; }
 
   /// Another box becomes leader: the job book is kept, the state of the
@@ -164,6 +167,10 @@
   }
 
   void forward(intake_box& box) {
+    if (box.cut_off) {
+      box.sent.clear();
+      box.replies.clear();
+    }
     while (!box.replies.empty() &&
            box.replies.front().arrives + box.answer_delay <= clock_.now()) {
       fleet::beat_answers one;
@@ -228,16 +235,24 @@
     if (!due) return 0;
     const fleet::beat_batch batch = std::move(box.sent.front().batch);
     box.sent.pop_front();
-    for (const fleet::worker_beat& it : batch.beats()) record_read(it);
-    return charged(
-        [&] {
-          leader_.take_heartbeats(
-              batch, [this, &box](fleet::beat_answer answer) {
-                if (answer.response().has_orders()) ++out_.answers;
-                box.replies.push_back({clock_.now(), std::move(answer)});
-              });
-        },
-        scenario_.cost.read * batch.beats_size());
+    // The leader ignores the differences that it refuses.
+    const auto refused =
+        std::make_shared<std::set<std::pair<std::string, uint64_t>>>();
+    const auto answer = [this, &box, refused](fleet::beat_answer it) {
+      if (it.response().has_orders()) ++out_.answers;
+      if (it.response().wants_whole()) {
+        refused->emplace(it.worker(), it.sequence());
+      }
+      box.replies.push_back({clock_.now(), std::move(it)});
+    };
+    const double spent =
+        charged([&] { leader_.take_heartbeats(batch, answer); },
+                scenario_.cost.read * batch.beats_size());
+    for (const fleet::worker_beat& it : batch.beats()) {
+      if (!refused->contains({incarnation_of(it).str(), it.sequence()}))
+        record_read(it);
+    }
+    return spent;
   }
 
   void record_read(const fleet::worker_beat& beat) {
@@ -369,9 +384,9 @@
     const milliseconds pause(static_cast<int64_t>(orders.next_beat_ms()));
     it.next_call = clock_.now() + std::max(pause, call_delay_after_end);
     if (orders.hold_ms() == 0) return;
-    if (scenario_.returns_to_first_box) {
-      worker.box = static_cast<int>(answer.worker) % scenario_.intake_boxes;
-    }
+    const int first = static_cast<int>(answer.worker) % scenario_.intake_boxes;
+    const bool up = !boxes_[static_cast<size_t>(first)]->cut_off;
+    if (scenario_.returns_to_first_box && up) worker.box = first;
     it.lease = std::max(
         it.lease,
         it.sent + milliseconds(static_cast<int64_t>(orders.hold_ms())));
--- a/fleet/late-intake-test.cc
+++ b/fleet/late-intake-test.cc
@@ -19,6 +19,8 @@
   // Number of slow boxes out of four.
   int boxes = 1;
   milliseconds max_unread_time = default_max_unread_time;
+  // How long one box was cut off before.
+  milliseconds cut{0};
 };
 
 busy::outcome run_row(const row& it) {
@@ -29,6 +31,9 @@
   constexpr milliseconds length{10'000};
   busy::busy_world world(world_setting);
   world.pass(start);
+  world.cut_first_box(it.cut > milliseconds(0));
+  world.pass(it.cut);
+  world.cut_first_box(false);
   world.delay_boxes(it.boxes, it.answer_delay, it.call_delay);
   world.pass(length);
   world.delay_boxes(it.boxes, milliseconds(0), milliseconds(0));
@@ -53,6 +58,8 @@
       // No box is faster: each worker gets a turn within its lease.
       {"all of them", milliseconds(500), milliseconds(0), 4,
        max_lease_duration},
+      {"all of them, one back from a cut", milliseconds(450), milliseconds(0),
+       4, max_lease_duration, milliseconds(3'000)},
   };
   for (const row& it : rows) {
     const busy::outcome out = run_row(it);
