A refusal that comes late still ends the base

What callers saw: a worker's call at a box with slow answers was refused by the leader twice, once more for each time the answer came after the call was over.

Cause: the leader's request for the whole heartbeat was dropped with the call that it answers. The box kept the base that the leader does not have, and the next difference was refused as well.

Evidence: refused_difference.difference_sent_again_after_late_refusal fails before (base 2, expected 0) and passes after.

The refusal counts now if it is of the last call that was forwarded, whether that still waits or not.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -275,9 +275,12 @@
     if (found == workers_.end()) continue;
     worker_state& it = found->second;
     record_rtt(it, answer);
-    if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
-    if (answer.response().wants_whole()) {
+    const bool wants_whole = answer.response().wants_whole();
+    // The call may be over by now; the next one must not build on it.
+    if (wants_whole && it.forwarded_sequence == answer.sequence())
       it.known_to.clear();
+    if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
+    if (wants_whole) {
       set_state(it, call_state::waiting);
       continue;
     }
--- a/fleet/refused-difference-test.cc
+++ b/fleet/refused-difference-test.cc
@@ -56,3 +56,17 @@
   clock.advance(milliseconds(200));
   CHECK_TRUE(forward_call().base() != 0);
 }
+
+// The box forgot that the leader had refused, as the call was over by then: its
+// next difference was refused as well.
+TEST(refused_difference, difference_sent_again_after_late_refusal) {
+  forward_call();
+  answer(sequence, false);
+  clock.advance(milliseconds(200));
+  CHECK_TRUE(forward_call().base() != 0);
+  clock.advance(settings.answer_timeout);
+  intake.expire();
+  LONGS_EQUAL(fleet::fleet_unavailable, last.status());
+  answer(sequence, true);
+  LONGS_EQUAL(0, forward_call().base());
+}
