The drift of frequent calls counts

What callers saw (by a test, in no play): a worker whose clock runs 2 % slow and that calls each 49 ms is answered "late" from some 50 s on, with a 2xx and without a lease, so that it stays and its runs lapse, until the leader changes.

Cause: the allowance for drift since the last call was rounded down to whole milliseconds at each call, to nothing below 50 ms. It never makes up for that.

Evidence: slow_clock fails before (11,224 late calls in 600 s at 49 ms) and passes after, at 49, 60, 99 and 240 ms.

The rest of the division is kept for the next call.

--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -16,6 +16,7 @@
 constexpr size_t max_ended_incarnations = 2'048;
 /// Maximum delay of a worker's call after the interval that its answer set.
 constexpr milliseconds call_slack{150};
+constexpr int64_t percent = 100;
 
 }  // namespace detail
 
@@ -186,7 +187,10 @@
   const int64_t offset = now.count() - static_cast<int64_t>(beat.clock_ms());
   if (it.clock_offset == INT64_MAX) it.clock_offset = offset;
   const int64_t passed = it.has_heartbeat ? (now - it.offset_at).count() : 0;
-  it.clock_offset += passed * leases_.drift_percent / 100;
+  // Rounded down with each call, the drift of frequent calls would be lost.
+  it.drift_remainder += passed * leases_.drift_percent;
+  it.clock_offset += it.drift_remainder / detail::percent;
+  it.drift_remainder %= detail::percent;
   it.offset_at = now;
   it.delay = std::max(milliseconds(0), milliseconds(offset - it.clock_offset));
   const bool timely = it.delay <= leases_.answer_limit;
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -190,6 +190,9 @@
   /// The difference of a heartbeat beyond this is the heartbeat's delay.
   int64_t clock_offset = INT64_MAX;
   time_point offset_at{};
+  /// Drift since `offset_at` that is too small for the offset, in hundredths of
+  /// a millisecond.
+  int64_t drift_remainder = 0;
 
   /// Time by which the next call of a live worker has arrived.
   time_point overdue_at() const { return call_due + max_call_delay; }
