--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -53,6 +53,8 @@
     std::exchange(it.respond, nullptr)(
         detail::plain_response(fleet::fleet_ok, "overtaken"));
   }
+  // The worker has called another box since: the leader may build on that call.
+  if (beat.sequence() != it.beat.sequence() + 1) it.known_to.clear();
   it.beat = std::move(beat);
   it.respond = std::move(respond);
   it.called_at = clock_.now();
@@ -292,9 +294,12 @@
     worker_state& it = found->second;
     record_rtt(it, answer);
     leader_overloaded_ = answer.overloaded();
-    if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
-    if (answer.response().wants_whole()) {
+    const bool wants_whole = answer.response().wants_whole();
+    // The call may be over by now; the next one must not build on it.
+    if (wants_whole && it.forwarded_sequence == answer.sequence())
       it.known_to.clear();
+    if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
+    if (wants_whole) {
       set_state(it, call_state::waiting);
       continue;
     }
--- a/fleet/late-intake-test.cc
+++ b/fleet/late-intake-test.cc
@@ -18,6 +18,8 @@
   milliseconds call_delay{0};
   // Number of slow boxes out of four.
   int boxes = 1;
+  // How long one box was cut off before.
+  milliseconds cut{0};
 };
 
 busy::outcome run_row(const row& it) {
@@ -28,6 +30,9 @@
   constexpr milliseconds length{10'000};
   busy::busy_world world(world_setting);
   world.pass(start);
+  world.cut_first_box(it.cut > milliseconds(0));
+  world.pass(it.cut);
+  world.cut_first_box(false);
   world.delay_boxes(it.boxes, it.answer_delay, it.call_delay);
   world.pass(length);
   world.delay_boxes(it.boxes, milliseconds(0), milliseconds(0));
@@ -54,6 +59,8 @@
       {"all of them, hardly late", milliseconds(450), milliseconds(0), 4},
       {"all of them", milliseconds(500), milliseconds(0), 4},
       {"all of them, nearly too late", milliseconds(850), milliseconds(0), 4},
+      {"all of them, one back from a cut", milliseconds(450), milliseconds(0),
+       4, milliseconds(3'000)},
   };
   for (const row& it : rows) {
     const busy::outcome out = run_row(it);
