A good end of a lost gang counts for the whole gang

Cause: such an end was left out while a later run of the gang was recorded, and where that one had been lost too, it completed one member only, as the others had the later run's number. The protocol says that one such end stands for all members.

job_book.successful_end_of_lost_gang_is_dropped_for_a_later_run fails before (the job is running) and passes now.

--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -112,6 +112,31 @@
   }
 }
 
+// The end, which stands for the whole gang, was dropped, or completed one member
+// only, and the gang was run again.
+TEST(job_book, successful_end_of_lost_gang_is_dropped_for_a_later_run) {
+  for (const bool later_run_is_lost : {false, true}) {
+    book = job_book();
+    put_config();
+    fleet::step_spec step = test_world::make_step(2);
+    step.set_gang(true);
+    submit(7, step);
+    const auto lose = [this](const char* worker) {
+      fleet::fleet_command loss;
+      loss.mutable_loss()->set_worker(worker);
+      loss.mutable_loss()->set_gone(true);
+      book.apply(loss);
+    };
+    for (uint32_t i = 0; i < 2; ++i) start(7, i, 1, "a");
+    lose("a");
+    for (uint32_t i = 0; i < 2; ++i) start(7, i, 2, "b");
+    if (later_run_is_lost) lose("b");
+    end(1, 7, 0, 1, "a", fleet::run_done);
+    LONGS_EQUAL(fleet::job_succeeded, book.find(job_number(7))->phase);
+    LONGS_EQUAL(later_run_is_lost ? 0 : 2, book.runs_on(worker_id("b")).size());
+  }
+}
+
 TEST(job_book, successful_member_end_completes_gang) {
   put_config();
   fleet::step_spec step = test_world::make_step(3);
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -265,9 +265,10 @@
   if (spec.gang()) save_gang_checkpoint(step, run.run, saved);
   if (outcome != fleet::run_done || spec.long_running()) return true;
   mark_done(step, *task);
-  // A successful end of one member completes the whole gang.
+  // A successful end of one member completes the whole gang, of which a later
+  // run may have been started.
   for (task_entry& it : step.tasks) {
-    if (spec.gang() && it.run == run.run) mark_done(step, it);
+    if (spec.gang()) mark_done(step, it);
   }
   finish_if_done(job);
   return true;
@@ -278,9 +279,8 @@
   const bool was_recorded = runs_on(worker).contains(run);
   close_run(worker, run, fleet::run_lapsed, saved);
   const fleet::step_spec* step = find_step(run.task);
-  const bool completes_alone =
-      step != nullptr && !step->gang() && !step->long_running();
-  if (was_recorded && completes_alone && find(run.task) != nullptr)
+  const bool can_complete = step != nullptr && !step->long_running();
+  if (was_recorded && can_complete && find(run.task) != nullptr)
     lost_.insert(run);
 }
 
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -216,7 +216,7 @@
   std::map<worker_id, fleet::worker_place> places_;
   std::map<worker_id, std::set<run_key>> lapsed_;
   // Runs of live jobs that were declared lost and whose end may still be
-  // reported. A gang or a long-running task is not completed by such an end.
+  // reported. A long-running task is not completed by such an end.
   std::set<run_key> lost_;
   std::set<task_key> suspects_;
   evacuations evacuations_;
