A failure of a lost run counts as an attempt

The checkpoint of such an end does not replace that of a later run.

job_book.failure_of_lost_run_is_not_counted fails before (0 failures, 1 expected) and passes now.

--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -137,6 +137,28 @@
   }
 }
 
+// The failure was acknowledged without effect, so that the task was started more
+// often than its queue allows.
+TEST(job_book, failure_of_lost_run_is_not_counted) {
+  for (const bool later_run_is_started : {false, true}) {
+    book = job_book();
+    put_config(2);
+    submit(7, test_world::make_step(1));
+    start(7, 0, 1, "a");
+    fleet::fleet_command loss;
+    loss.mutable_loss()->set_worker("a");
+    loss.mutable_loss()->set_gone(true);
+    book.apply(loss);
+    if (later_run_is_started) start(7, 0, 2, "b");
+    end(1, 7, 0, 1, "a", fleet::run_failed);
+    end(1, 7, 0, 1, "a", fleet::run_failed);
+    LONGS_EQUAL(1, task(7, 0).failures);
+    if (!later_run_is_started) start(7, 0, 2, "b");
+    end(1, 7, 0, 2, "b", fleet::run_failed);
+    LONGS_EQUAL(fleet::job_failed, book.find(job_number(7))->phase);
+  }
+}
+
 TEST(job_book, successful_member_end_completes_gang) {
   put_config();
   fleet::step_spec step = test_world::make_step(3);
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -227,9 +227,12 @@
 
 /// A successful end that arrives after its run was declared lost counts as long
 /// as the task is not done. A later run of the task is then no longer current,
-/// so that it is not started and is stopped where it runs.
-bool job_book::completes_late(const run_key& run, fleet::run_outcome outcome,
-                              const task_entry& task) const {
+/// so that it is not started and is stopped where it runs. A failure counts as
+/// an attempt.
+bool job_book::counts_late(const run_key& run, fleet::run_outcome outcome,
+                           const task_entry& task) const {
+  if (outcome == fleet::run_failed)
+    return task.phase != task_phase::done && lost_.contains(run);
   if (outcome != fleet::run_done || run.run > task.run) return false;
   return task.phase == task_phase::waiting ||
          (task.phase == task_phase::running && lost_.contains(run));
@@ -247,7 +250,7 @@
   job_entry& job = jobs_.at(run.task.job);
   step_entry& step = job.times[run.task.time][run.task.step];
   const fleet::step_spec& spec = *find_step(run.task);
-  if (!was_recorded && !completes_late(run, outcome, *task)) return false;
+  if (!was_recorded && !counts_late(run, outcome, *task)) return false;
   // A run that is recorded as alive and is not the task's current run: the end
   // of another gang member has already completed the task.
   const bool current =
@@ -257,7 +260,8 @@
     task->phase = task_phase::waiting;
     --step.running;
   }
-  if (!saved.empty()) task->saved = saved;
+  // A later run may have saved more.
+  if (!saved.empty() && run.run == task->run) task->saved = saved;
   if (outcome == fleet::run_failed) {
     count_failure(job, step, *task, spec);
     return true;
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -87,7 +87,8 @@
     fleet::run_outcome outcome;
     run_number later_run;
     worker_id later_worker;
-    /// The end completed the task; the later run is to be stopped.
+    /// A successful end completed the task, and the later run is to be stopped;
+    /// a failure counts as an attempt.
     bool counted;
   };
   /// A task whose worker crashes made its job fail.
@@ -188,8 +189,8 @@
                 const std::string& saved);
   bool close_run(const worker_id& worker, const run_key& run,
                  fleet::run_outcome outcome, const std::string& saved);
-  bool completes_late(const run_key& run, fleet::run_outcome outcome,
-                      const task_entry& task) const;
+  bool counts_late(const run_key& run, fleet::run_outcome outcome,
+                   const task_entry& task) const;
   static void mark_done(step_entry& step, task_entry& task);
   void count_failure(job_entry& job, step_entry& step, task_entry& task,
                      const fleet::step_spec& spec);
