A requested whole heartbeat keeps to the window

Cause: a forwarded call has no time since which it waits. When the leader asked for the whole heartbeat, the call waited since the clock's start, was overdue at once and went beyond the window.

heartbeat_intake.requested_whole_heartbeat_exceeds_window fails before and passes now.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -308,6 +308,33 @@
   }
 }
 
+// A call of which the leader wanted the whole heartbeat counted as not forwarded
+// since the clock's start, and was forwarded beyond the window.
+TEST(heartbeat_intake, requested_whole_heartbeat_exceeds_window) {
+  intake_settings settings;
+  settings.initial_window = 8;
+  settings.min_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  clock.advance(milliseconds(10'000));
+  fleet::beat_answers all;
+  for (int i = 0; i < 8; ++i) {
+    fleet::worker_beat it = beat;
+    it.set_worker("w" + std::to_string(i));
+    it.set_sequence(1);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [](const fleet::fleet_response&) {});
+    fleet::beat_answer& one = *all.add_answers();
+    one.set_worker(it.worker());
+    one.set_sequence(1);
+    one.mutable_response()->set_wants_whole(i > 0);
+  }
+  LONGS_EQUAL(8, full.collect("L").beats_size());
+  clock.advance(milliseconds(500));
+  // The first answer is slow, so that the window shrinks.
+  full.handle_answers(all);
+  CHECK_TRUE(full.collect("L").beats_size() < 7);
+}
+
 TEST_GROUP(intake_directory){};
 
 TEST(intake_directory, workers_call_in_their_data_centre) {
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -56,7 +56,6 @@
   it.beat = std::move(beat);
   it.respond = std::move(respond);
   it.called_at = clock_.now();
-  if (it.waiting_since == time_point{}) it.waiting_since = it.called_at;
   set_state(it, call_state::waiting);
 }
 
@@ -69,6 +68,7 @@
   if (before == call_state::forwarded) --forwarded_;
   if (state == call_state::waiting) {
     ++waiting_;
+    if (it.waiting_since == time_point{}) it.waiting_since = it.called_at;
     it.overdue = !leader_overloaded_ &&
                  clock_.now() - it.waiting_since >= settings_.max_unforwarded;
     if (it.overdue) ++overdue_;
@@ -308,9 +308,7 @@
 
 void heartbeat_intake::leader_changed() {
   for (auto& [id, it] : workers_) {
-    if (!it.respond) continue;
-    if (it.waiting_since == time_point{}) it.waiting_since = it.called_at;
-    set_state(it, call_state::waiting);
+    if (it.respond) set_state(it, call_state::waiting);
   }
   window_ = settings_.initial_window;
   leader_overloaded_ = false;
