The answer of a held call does not end the leader's overload

Cause: the message that a call is held tells nothing of the load, and was read as "not overloaded".

heartbeat_intake.held_call_ends_overload fails before and passes now.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -335,6 +335,43 @@
   CHECK_TRUE(full.collect("L").beats_size() < 7);
 }
 
+// An answer that holds a call back says nothing of the leader's load, and ended
+// its overload for the box.
+TEST(heartbeat_intake, held_call_ends_overload) {
+  intake_settings settings;
+  settings.initial_window = settings.min_window = settings.max_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  const auto call_of = [&](const std::string& worker, uint64_t sequence) {
+    fleet::worker_beat it = beat;
+    it.set_worker(worker);
+    it.set_sequence(sequence);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [](const fleet::fleet_response&) {});
+  };
+  const auto answer_of = [&](const std::string& worker, bool held) {
+    fleet::beat_answers all;
+    fleet::beat_answer& it = *all.add_answers();
+    it.set_worker(worker);
+    it.set_sequence(1);
+    it.set_held(held);
+    it.set_overloaded(!held);
+    full.handle_answers(all);
+  };
+  call_of("busy", 1);
+  full.collect("L");
+  answer_of("busy", false);
+  call_of("idle", 1);
+  full.collect("L");
+  answer_of("idle", true);
+  call_of("other", 1);
+  full.collect("L");
+  for (uint64_t n = 1; n <= 10; ++n) {
+    call_of("starved", n);
+    clock.advance(milliseconds(80));
+    CHECK_FALSE(full.has_pending_calls());
+  }
+}
+
 TEST_GROUP(intake_directory){};
 
 TEST(intake_directory, workers_call_in_their_data_centre) {
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -291,7 +291,7 @@
     if (found == workers_.end()) continue;
     worker_state& it = found->second;
     record_rtt(it, answer);
-    leader_overloaded_ = answer.overloaded();
+    if (!answer.held()) leader_overloaded_ = answer.overloaded();
     if (!it.respond || it.beat.sequence() != answer.sequence()) continue;
     if (answer.response().wants_whole()) {
       it.known_to.clear();
