No call goes beyond the window to a leader out of reach

Cause: a call of a worker that came back to such a box was overdue, was forwarded in vain, and no longer failed within 0.15 s (in the test).

heartbeat_intake.worker_waits_for_a_leader_out_of_reach fails before and passes now.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -372,6 +372,48 @@
   }
 }
 
+// A call of a worker that came back was forwarded in vain to a leader out of
+// reach, and the worker was sent to another box only after the full time.
+TEST(heartbeat_intake, worker_waits_for_a_leader_out_of_reach) {
+  intake_settings settings;
+  settings.initial_window = settings.min_window = settings.max_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  bool failed = false;
+  const auto call_of = [&](const std::string& worker, uint64_t sequence) {
+    fleet::worker_beat it = beat;
+    it.set_worker(worker);
+    it.set_sequence(sequence);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [&failed, worker](const fleet::fleet_response& r) {
+      failed = worker == "back" && r.status() == fleet::fleet_unavailable;
+    });
+  };
+  const auto pass = [&](int ms) {
+    for (int i = 0; i < ms; i += 50) {
+      clock.advance(milliseconds(50));
+      full.collect("L");
+      full.expire();
+    }
+  };
+  for (uint64_t n = 1; n <= 3; ++n) {
+    call_of("other", n);
+    full.collect("L");
+    pass(450);
+  }
+  call_of("back", 1);
+  pass(150);
+  CHECK_TRUE(failed);
+  failed = false;
+  for (uint64_t n = 4; n <= 6; ++n) {
+    call_of("other", n);
+    full.collect("L");
+    pass(450);
+  }
+  call_of("back", 2);
+  pass(150);
+  CHECK_TRUE(failed);
+}
+
 TEST_GROUP(intake_directory){};
 
 TEST(intake_directory, workers_call_in_their_data_centre) {
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -69,7 +69,7 @@
   if (state == call_state::waiting) {
     ++waiting_;
     if (it.waiting_since == time_point{}) it.waiting_since = it.called_at;
-    it.overdue = !leader_overloaded_ &&
+    it.overdue = !leader_overloaded_ && !is_out_of_reach() &&
                  clock_.now() - it.waiting_since >= settings_.max_unforwarded;
     if (it.overdue) ++overdue_;
   }
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -41,11 +41,11 @@
   /// to retry: the rest of the worker's 1 s is too short for the leader's
   /// answer.
   milliseconds put_off_after{100};
-  /// Unless the leader is overloaded, a call is forwarded whatever the window
-  /// if none of its worker was forwarded for this time. Otherwise a worker
-  /// whose calls happen to come while the window is full is never heard.
-  /// Together with the slowest answer and two intervals of calls this is a
-  /// third of a lease.
+  /// Unless the leader is overloaded or out of reach, a call is forwarded
+  /// whatever the window if none of its worker was forwarded for this time.
+  /// Otherwise a worker whose calls happen to come while the window is full is
+  /// never heard. Together with the slowest answer and two intervals of calls
+  /// this is a third of a lease.
   milliseconds max_unforwarded{700};
   /// Delay after which the worker should retry.
   milliseconds retry_delay{200};
