A test's name and comment tell what it tests; one line each

late_end.start_is_sent_while_its_loss_is_pending proposed two losses only while later starts were recalled. Now it proposes none: trials showed that it passes without the check of pending_losses_ in starts_for and fails without that of pending_successes_. It is named after that; its body is unchanged. The check of pending_losses_ is held by slow_leader and worker_life, which fail without.

--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -308,8 +308,7 @@
   }
 }
 
-// A call of which the leader wanted the whole heartbeat counted as not forwarded
-// since the clock's start, and was forwarded beyond the window.
+// A call whose whole heartbeat was requested was forwarded beyond the window.
 TEST(heartbeat_intake, requested_whole_heartbeat_exceeds_window) {
   intake_settings settings;
   settings.initial_window = 8;
@@ -335,8 +334,7 @@
   CHECK_TRUE(full.collect("L").beats_size() < 7);
 }
 
-// An answer that holds a call back says nothing of the leader's load, and ended
-// its overload for the box.
+// The message that a call is held was read as the end of the leader's overload.
 TEST(heartbeat_intake, held_call_ends_overload) {
   intake_settings settings;
   settings.initial_window = settings.min_window = settings.max_window = 1;
@@ -372,8 +370,7 @@
   }
 }
 
-// A call of a worker that came back was forwarded in vain to a leader out of
-// reach, and the worker was sent to another box only after the full time.
+// A call was forwarded in vain, beyond the window, to a leader out of reach.
 TEST(heartbeat_intake, worker_waits_for_a_leader_out_of_reach) {
   intake_settings settings;
   settings.initial_window = settings.min_window = settings.max_window = 1;
--- a/fleet/job-book-test.cc
+++ b/fleet/job-book-test.cc
@@ -112,8 +112,7 @@
   }
 }
 
-// The end, which stands for the whole gang, was dropped, or completed one member
-// only, and the gang was run again.
+// The end was dropped, or completed only one member of the gang.
 TEST(job_book, successful_end_of_lost_gang_is_dropped_for_a_later_run) {
   for (const bool later_run_is_lost : {false, true}) {
     book = job_book();
@@ -137,8 +136,7 @@
   }
 }
 
-// The failure was acknowledged without effect, so that the task was started more
-// often than its queue allows.
+// The failure was acknowledged and did not count as an attempt.
 TEST(job_book, failure_of_lost_run_is_not_counted) {
   for (const bool later_run_is_started : {false, true}) {
     book = job_book();
--- a/fleet/late-end-test.cc
+++ b/fleet/late-end-test.cc
@@ -62,9 +62,8 @@
   }
 }
 
-// Of two losses of a worker in flight, the first to be applied released the
-// worker's starts: a run that the second one ended was sent all the same.
-TEST(late_end, start_is_sent_while_its_loss_is_pending) {
+// A later run was sent while the end that makes it obsolete was in the log.
+TEST(late_end, start_is_sent_while_a_successful_end_is_pending) {
   test_world world;
   world.configure(1, 99);
   world.beat("a");
