--- a/fleet/beat-intake-test.cc
+++ b/fleet/beat-intake-test.cc
@@ -309,6 +309,109 @@
   }
 }
 
+// A call whose whole heartbeat was requested was forwarded beyond the window.
+TEST(heartbeat_intake, requested_whole_heartbeat_exceeds_window) {
+  intake_settings settings;
+  settings.initial_window = 8;
+  settings.min_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  clock.advance(milliseconds(10'000));
+  fleet::beat_answers all;
+  for (int i = 0; i < 8; ++i) {
+    fleet::worker_beat it = beat;
+    it.set_worker("w" + std::to_string(i));
+    it.set_sequence(1);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [](const fleet::fleet_response&) {});
+    fleet::beat_answer& one = *all.add_answers();
+    one.set_worker(it.worker());
+    one.set_sequence(1);
+    one.mutable_response()->set_wants_whole(i > 0);
+  }
+  LONGS_EQUAL(8, full.collect("L").beats_size());
+  clock.advance(milliseconds(500));
+  // The first answer is slow, so that the window shrinks.
+  full.handle_answers(all);
+  CHECK_TRUE(full.collect("L").beats_size() < 7);
+}
+
+// The message that a call is held was read as the end of the leader's overload.
+TEST(heartbeat_intake, held_call_ends_overload) {
+  intake_settings settings;
+  settings.initial_window = settings.min_window = settings.max_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  const auto call_of = [&](const std::string& worker, uint64_t sequence) {
+    fleet::worker_beat it = beat;
+    it.set_worker(worker);
+    it.set_sequence(sequence);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [](const fleet::fleet_response&) {});
+  };
+  const auto answer_of = [&](const std::string& worker, bool held) {
+    fleet::beat_answers all;
+    fleet::beat_answer& it = *all.add_answers();
+    it.set_worker(worker);
+    it.set_sequence(1);
+    it.set_held(held);
+    it.set_overloaded(!held);
+    full.handle_answers(all);
+  };
+  call_of("busy", 1);
+  full.collect("L");
+  answer_of("busy", false);
+  call_of("idle", 1);
+  full.collect("L");
+  answer_of("idle", true);
+  call_of("other", 1);
+  full.collect("L");
+  for (uint64_t n = 1; n <= 10; ++n) {
+    call_of("starved", n);
+    clock.advance(milliseconds(80));
+    CHECK_FALSE(full.has_pending_calls());
+  }
+}
+
+// A call was forwarded in vain, beyond the window, to a leader out of reach.
+TEST(heartbeat_intake, worker_waits_for_a_leader_out_of_reach) {
+  intake_settings settings;
+  settings.initial_window = settings.min_window = settings.max_window = 1;
+  heartbeat_intake full(settings, clock, metrics);
+  bool failed = false;
+  const auto call_of = [&](const std::string& worker, uint64_t sequence) {
+    fleet::worker_beat it = beat;
+    it.set_worker(worker);
+    it.set_sequence(sequence);
+    it.set_clock_ms(static_cast<uint64_t>(clock.now().count()));
+    full.take(it, [&failed, worker](const fleet::fleet_response& r) {
+      failed = worker == "back" && r.status() == fleet::fleet_unavailable;
+    });
+  };
+  const auto pass = [&](int ms) {
+    for (int i = 0; i < ms; i += 50) {
+      clock.advance(milliseconds(50));
+      full.collect("L");
+      full.expire();
+    }
+  };
+  for (uint64_t n = 1; n <= 3; ++n) {
+    call_of("other", n);
+    full.collect("L");
+    pass(450);
+  }
+  call_of("back", 1);
+  pass(150);
+  CHECK_TRUE(failed);
+  failed = false;
+  for (uint64_t n = 4; n <= 6; ++n) {
+    call_of("other", n);
+    full.collect("L");
+    pass(450);
+  }
+  call_of("back", 2);
+  pass(150);
+  CHECK_TRUE(failed);
+}
+
 TEST_GROUP(intake_directory){};
 
 TEST(intake_directory, workers_call_in_their_data_centre) {
