A new leader's first calls keep to the window

After 0.95 s without a leader each box passed on all of its waiting calls at once, whole, beyond the window of the new leader, which had not yet been able to say that it is overloaded. How long a worker waited for the leader before does not count for the next one.

intake_window.new_leader_gets_all_calls_beyond_the_window fails before (20 calls, 4 expected) and passes after.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -312,7 +312,9 @@
 }
 
 void heartbeat_intake::leader_changed() {
+  // No call waited for this leader yet: the window applies to all of them.
   for (auto& [id, it] : workers_) {
+    it.waiting_since = it.respond ? clock_.now() : time_point{};
     if (it.respond) set_state(it, call_state::waiting);
   }
   window_ = settings_.initial_window;
