--- a/fleet/controller-lives.cc
+++ b/fleet/controller-lives.cc
@@ -78,25 +78,28 @@
       .with("told-ms-ago", (clock_.now() - it.last_heartbeat_at).count());
 }
 
+fleet_controller::earlier_call fleet_controller::earlier_call_of(
+    const worker_view* it) {
+  if (it == nullptr) return {};
+  return {it->lapsed.size(), it->has_heartbeat, it->beat.sequence(),
+          it->last_heartbeat_at};
+}
+
 /// Logs a call of a worker whose runs were declared lost because its lease had
-/// ended. The calls that this leader did not read tell a worker that was put
-/// off or refused all the time from one that was cut off or stood still.
-void fleet_controller::log_heard_again(const worker_view& before,
-                                       const fleet::worker_beat& beat) const {
-  const bool overtaken =
-      before.has_heartbeat && beat.sequence() <= before.beat.sequence();
-  if (before.lapsed.empty() || overtaken) return;
+/// ended, with the number of its calls that this leader did not read: none of a
+/// worker that stood still, one a second of one that got no answer, several a
+/// second of one that was put off.
+void fleet_controller::log_heard_again(const worker_view& it,
+                                       const earlier_call& last) const {
   log_event line(detail::service_name, log_level::info, "worker-heard-again");
-  line.with("worker", before.id.str())
-      .with("sequence", beat.sequence())
-      .with("runs-lost", before.lapsed.size())
-      .with("ends", beat.ended_size())
-      .with("known", before.has_heartbeat ? "yes" : "no");
-  if (!before.has_heartbeat) return;
-  const auto unread = static_cast<int64_t>(beat.sequence()) -
-                      static_cast<int64_t>(before.beat.sequence()) - 1;
-  line.with("silent-ms", (clock_.now() - before.last_heartbeat_at).count())
-      .with("calls-unread", unread);
+  line.with("worker", it.id.str())
+      .with("sequence", it.beat.sequence())
+      .with("runs-lost", last.runs_lost)
+      .with("ends", it.beat.ended_size())
+      .with("known", last.heard ? "yes" : "no");
+  if (!last.heard) return;
+  line.with("silent-ms", (clock_.now() - last.at).count())
+      .with("calls-unread", it.beat.sequence() - last.sequence - 1);
 }
 
 /// Finds the incarnation that a leave refers to, or none if the leave can only
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -65,37 +65,49 @@
     record_ends_only(beat);
     return respond(make_response(fleet::fleet_ok, "over"));
   }
-  if (known_view != nullptr) log_heard_again(*known_view, beat);
+  const earlier_call last = earlier_call_of(known_view);
   const auto [it, timely, wants_whole, inconsistent] =
       workers_.receive_heartbeat(beat);
   if (inconsistent) return reject_heartbeat(beat, "misfit", respond);
-  if (wants_whole) {
-    const bool known = workers_.find(incarnation) != nullptr;
-    log_event(detail::service_name, known ? log_level::debug : log_level::info,
-              "heartbeat-baseless")
-        .with("worker", incarnation.str())
-        .with("sequence", beat.sequence())
-        .with("base", beat.base())
-        .with("ends", beat.ended_size())
-        .with("life", known ? "known" : "unknown");
-    record_ends_only(beat);
-    fleet::fleet_response response = make_response(fleet::fleet_ok, "unknown");
-    response.set_wants_whole(true);
-    return respond(std::move(response));
-  }
+  if (wants_whole) return request_whole(beat, respond);
   if (it == nullptr) {
     worker_view& view = *workers_.find(incarnation);
     if (is_pending_call(view, beat)) return join_call(view, respond);
     log_overtaken(beat, view);
     return respond(make_response(fleet::fleet_ok, "overtaken"));
   }
+  log_new_incarnation(*it);
+  if (last.runs_lost > 0) log_heard_again(*it, last);
+  accept_heartbeat(*it, timely, respond, held);
+}
+
+/// A difference that does not match the last heartbeat; only its ends count.
+void fleet_controller::request_whole(const fleet::worker_beat& beat,
+                                     const respond_function& respond) {
+  const worker_id incarnation = incarnation_of(beat);
+  const bool known = workers_.find(incarnation) != nullptr;
+  log_event(detail::service_name, known ? log_level::debug : log_level::info,
+            "heartbeat-baseless")
+      .with("worker", incarnation.str())
+      .with("sequence", beat.sequence())
+      .with("base", beat.base())
+      .with("ends", beat.ended_size())
+      .with("life", known ? "known" : "unknown");
+  record_ends_only(beat);
+  fleet::fleet_response response = make_response(fleet::fleet_ok, "unknown");
+  response.set_wants_whole(true);
+  respond(std::move(response));
+}
+
+void fleet_controller::accept_heartbeat(worker_view& it, bool timely,
+                                        const respond_function& respond,
+                                        const std::function<void()>& held) {
   ++heartbeats_since_tick_;
   ++load_.heartbeats;
-  lag_.record_delay(it->delay);
-  log_new_incarnation(*it);
-  update_unrecorded_runs(*it);
-  if (it->awaits_start) it->awaits_start = awaits_start(*it);
-  record_ends(*it, it->beat.ended(), timely);
+  lag_.record_delay(it.delay);
+  update_unrecorded_runs(it);
+  if (it.awaits_start) it.awaits_start = awaits_start(it);
+  record_ends(it, it.beat.ended(), timely);
   // The worker no longer waits for the answer to a late heartbeat.
   if (!timely) {
     ++late_heartbeats_since_tick_;
@@ -103,15 +115,15 @@
     ++metrics_.counter("kestrelreel_heartbeats_late_total");
     return respond(make_response(fleet::fleet_ok, "late"));
   }
-  if (it->respond) {
-    std::exchange(it->respond,
+  if (it.respond) {
+    std::exchange(it.respond,
                   nullptr)(make_response(fleet::fleet_ok, "overtaken"));
   }
-  it->respond = respond;
-  it->call_received_at = clock_.now();
-  if (held && hold_call(*it)) return held();
-  workers_.groups().calling.add(*it);
-  update_paces_if_due(*it);
+  it.respond = respond;
+  it.call_received_at = clock_.now();
+  if (held && hold_call(it)) return held();
+  workers_.groups().calling.add(it);
+  update_paces_if_due(it);
   has_pending_decisions_ = true;
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -176,6 +176,11 @@
   void on_heartbeat(const fleet::worker_beat& beat,
                     const respond_function& respond,
                     const std::function<void()>& held = {});
+  void request_whole(const fleet::worker_beat& beat,
+                     const respond_function& respond);
+  void accept_heartbeat(worker_view& it, bool timely,
+                        const respond_function& respond,
+                        const std::function<void()>& held);
   static bool is_pending_call(const worker_view& it,
                               const fleet::worker_beat& beat);
   static void join_call(worker_view& it, const respond_function& respond);
@@ -190,8 +195,15 @@
   bool is_over(const worker_id& worker);
   void log_overtaken(const fleet::worker_beat& beat, const worker_view& it);
   void log_new_incarnation(const worker_view& it) const;
-  void log_heard_again(const worker_view& before,
-                       const fleet::worker_beat& beat) const;
+  /// What was known of a worker before its call.
+  struct earlier_call {
+    size_t runs_lost = 0;
+    bool heard = false;
+    uint64_t sequence = 0;
+    time_point at{};
+  };
+  static earlier_call earlier_call_of(const worker_view* it);
+  void log_heard_again(const worker_view& it, const earlier_call& last) const;
   bool is_starting_or_leaving(const worker_view& it) const;
   // Ends of runs: controller-ends.cc.
   using listed_ends = google::protobuf::RepeatedPtrField<fleet::run_end>;
