Logs: how a planned stop ended, and which requests a close cut off

Three readings stood: a request that came between the last poll and the close of the sockets, one that the poll did not see, one that was under way as the stop's time was over.

stop-ends tells the cause (quiet, time-over) and the time since the stop began. requests-cut-off tells, at the close of a listening port, the requests under way, the connections with bytes that nobody read and whether a connection waits to be accepted; nothing is logged where nothing is cut.

--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -162,7 +162,12 @@
   auto* front = registry_.find<front_service>(seeded_names::front);
   const bool idle = passed >= least && front->is_quiet();
   const bool over = passed >= context_.settings.stop_time - detail::stop_margin;
-  if (idle || over) return context_.io.stop();
+  if (idle || over) {
+    log_event(detail::process_name, log_level::info, "stop-ends")
+        .with("cause", idle ? "quiet" : "time-over")
+        .with("after-ms", passed.count());
+    return context_.io.stop();
+  }
   stop_timer_.expires_after(detail::idle_poll);
   stop_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) end_when_idle();
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -41,6 +41,10 @@
   }
 
   bool idle() const { return !busy_ && buffer_.size() == 0; }
+  bool has_unread() const {
+    beast::error_code ec;
+    return stream_.socket().available(ec) > 0;
+  }
   int handle() { return stream_.socket().native_handle(); }
 
  private:
@@ -208,7 +212,27 @@
   return ::poll(sockets.data(), sockets.size(), 0) == 0;
 }
 
+void http_service::note_cut_requests() {
+  size_t under_way = 0;
+  size_t unread = 0;
+  for (const auto& it : sessions_) {
+    under_way += it->idle() ? 0 : 1;
+    unread += it->has_unread() ? 1 : 0;
+  }
+  pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
+  const bool unaccepted = ::poll(&waiting, 1, 0) > 0;
+  if (under_way + unread == 0 && !unaccepted) return;
+  boost::system::error_code ec;
+  log_event("http", log_level::warn, "requests-cut-off")
+      .with("port", acceptor_.local_endpoint(ec).port())
+      .with("connections", sessions_.size())
+      .with("under-way", under_way)
+      .with("unread", unread)
+      .with("unaccepted", unaccepted ? "yes" : "no");
+}
+
 void http_service::close() {
+  if (acceptor_.is_open()) note_cut_requests();
   alive_.reset();
   boost::system::error_code ec;
   acceptor_.close(ec);
--- a/net/http-service.h
+++ b/net/http-service.h
@@ -64,11 +64,13 @@
   /// True when no request waits for its answer, is read in part, or has
   /// arrived and is not read yet: a close now cuts off none.
   bool is_quiet();
+  /// Ends all connections; tells the log of requests that this cuts off.
   void close();
 
  private:
   class session;
   void accept();
+  void note_cut_requests();
 
   handler on_call_;
   std::string deadline_header_;
