A stopping entry box answers what it holds before it ends

What callers saw: a request that still waits for the leader 5.3 s into the planned stop of its entry box is reset, though its own deadline is not over.

Cause: a request's time was its caller's alone. The box ended 0.7 s before its stop's time, whatever it still held, and nobody answered those requests. On the untouched code the new test fails: a request sent 4 s into the stop with 3 s to its deadline, the leader silent, ends without an answer.

While a box stops, a request's time ends with the stop's, 0.7 s before the process must be gone (seeded_context::answers_due): the gateway then answers 504 where a leader may have the request, 503 where nobody was asked. The process waits for these answers up to 0.2 s more. It ends 0.5 s before its time at the latest (0.7 s before; control boxes too).

--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -114,13 +114,19 @@
   try_now(it);
 }
 
+/// Until the caller gives up or this box ends.
+milliseconds entry_gateway_service::time_left(const question& it) const {
+  return std::min(it.deadline, context_.answers_due) - context_.clock.now();
+}
+
 void entry_gateway_service::try_now(const std::shared_ptr<question>& it) {
   const time_point now = context_.clock.now();
+  const milliseconds left = time_left(*it);
   fleet::fleet_response none;
   none.set_status(fleet::fleet_unavailable);
   // The caller may have left and cancelled the job elsewhere.
-  if (now >= it->deadline) {
-    none.set_reason("callers-time-over");
+  if (left <= milliseconds(0)) {
+    none.set_reason(now < it->deadline ? "box-ends" : "callers-time-over");
     return try_later(it, std::move(none));
   }
   const box_id target = finder_.target(now);
@@ -128,11 +134,9 @@
     none.set_reason("no-leader-in-reach");
     return try_later(it, std::move(none));
   }
-  const milliseconds left =
-      std::min<milliseconds>(it->deadline - now, detail::answer_limit);
   ++it->tries;
   it->last_asked = target;
-  mesh_->call(target, it->request, false, left,
+  mesh_->call(target, it->request, false, std::min(left, detail::answer_limit),
               [this, it, target, now](fleet::fleet_response response) {
                 note_outcome(*it, target, response.status(), now);
                 const request_kind kind = detail::kind_of(it->request);
@@ -181,7 +185,7 @@
 void entry_gateway_service::try_later(const std::shared_ptr<question>& it,
                                       fleet::fleet_response last) {
   const time_point now = context_.clock.now();
-  const unsettled_request request{now - it->asked, it->deadline - now,
+  const unsettled_request request{now - it->asked, time_left(*it),
                                   it->may_have_run, it->connecting};
   if (asks_again(request)) {
     it->timer.expires_after(pause_after(last.status()));
--- a/daemon/entry-gateway-service.h
+++ b/daemon/entry-gateway-service.h
@@ -42,6 +42,7 @@
 
  private:
   struct question;
+  milliseconds time_left(const question& it) const;
   void try_now(const std::shared_ptr<question>& it);
   void try_later(const std::shared_ptr<question>& it,
                  fleet::fleet_response last);
--- a/daemon/seeded-context.h
+++ b/daemon/seeded-context.h
@@ -26,6 +26,8 @@
   metrics_registry metrics;
   /// True once a planned stop began.
   bool stopping = false;
+  /// Callers have their answers by then; set by a planned stop.
+  time_point answers_due = time_point::max();
 };
 
 }  // namespace kestrelreel
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -23,8 +23,10 @@
 /// A control box's callers turn to another by themselves.
 constexpr milliseconds control_stop{600};
 constexpr milliseconds idle_poll{50};
-/// What is left of the stop's time for the process to end.
-constexpr milliseconds stop_margin{700};
+/// What is left of the stop's time when callers have their answers, and when
+/// the process ends at the latest.
+constexpr milliseconds answers_margin{700};
+constexpr milliseconds exit_margin{500};
 
 bool read_settings_file(const std::string& path, std::string& text) {
   std::ifstream in(path, std::ios::binary);
@@ -142,6 +144,8 @@
 void seeded_process::begin_stop() {
   context_.stopping = true;
   stop_began_ = context_.clock.now();
+  context_.answers_due =
+      stop_began_ + context_.settings.stop_time - detail::answers_margin;
   log_event(detail::process_name, log_level::info, "stop-begins")
       .with("time-ms", context_.settings.stop_time.count());
   if (auto* it = registry_.find<fleet_record_service>(seeded_names::record)) {
@@ -161,7 +165,7 @@
   const milliseconds passed = context_.clock.now() - stop_began_;
   auto* front = registry_.find<front_service>(seeded_names::front);
   const bool idle = passed >= least && front->is_quiet();
-  const bool over = passed >= context_.settings.stop_time - detail::stop_margin;
+  const bool over = passed >= context_.settings.stop_time - detail::exit_margin;
   if (idle || over) {
     log_event(detail::process_name, log_level::info, "stop-ends")
         .with("cause", idle ? "quiet" : "time-over")
