An entry box serves until its stop's time is over, however quiet it is

Cause: from 3 s on the box ended at the first moment at which a poll found all sockets quiet. No poll speaks for the next moment: connections stay open through a stop, and what came between the poll and the close of the sockets was cut. So the box chose by itself a moment within the time for which it owes answers.

Now an entry box serves until its answers are due, 0.7 s before it must be gone: what comes until then is answered, each answer ends its connection, and callers and the balancer have had 5.3 s to turn elsewhere. It ends at the first quiet moment after that. Weighed and left: an unasked-for 408 on idle connections, as a caller may take it for the answer to a request that it sends later. A stop of an entry box takes 5.3 s in place of 3.0 to 4.5.

planned-stop-test, request_is_cut_as_a_quiet_box_ends: failed on ("after 3 s: expected 503 but was 0"), passes.

--- a/daemon/planned-stop-test.cc
+++ b/daemon/planned-stop-test.cc
@@ -199,6 +199,25 @@
 
 TEST_GROUP(planned_stop){};
 
+// A quiet box ended 3 s into its stop and cut off the request of that moment.
+TEST(planned_stop, request_is_cut_as_a_quiet_box_ends) {
+  entry_process box;
+  CHECK_TRUE(answers(503));
+  const std::vector<late_request> rows = {
+      {"at the stop's begin", milliseconds(0), milliseconds(3'000), true},
+      {"before 3 s", milliseconds(2'800), milliseconds(3'000), true},
+      {"after 3 s", milliseconds(3'300), milliseconds(3'000), true},
+      {"on a new connection", milliseconds(4'000), milliseconds(3'000), false},
+      {"near the stop's end", milliseconds(4'800), milliseconds(3'000), true},
+  };
+  const std::vector<unsigned> statuses = statuses_in_a_stop(box, rows);
+  const milliseconds length = box.end();
+  for (size_t i = 0; i < rows.size(); ++i) {
+    LONGS_EQUAL_TEXT(503, statuses[i], rows[i].name);
+  }
+  CHECK_TRUE(length < stop_time);
+}
+
 // A request was cut off at the stop's end, with time left to its deadline.
 TEST(planned_stop, request_without_an_answer_is_cut_at_the_stops_end) {
   silent_leader leader;
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -18,8 +18,6 @@
 constexpr const char* process_name = "process";
 /// The settings file may change without a signal.
 constexpr milliseconds reload_interval{1'000};
-/// The balancer asks every second and takes two misses as an answer.
-constexpr milliseconds balancer_notices{3'000};
 /// A control box's callers turn to another by themselves.
 constexpr milliseconds control_stop{600};
 constexpr milliseconds idle_poll{50};
@@ -155,17 +153,17 @@
   end_when_idle();
 }
 
-/// An entry box serves on until the balancer has noticed, all answers are out
-/// and nothing that arrived is unread: connections stay open meanwhile, and a
-/// request may come on each.
+/// An entry box serves until its answers are due: its connections stay open,
+/// and however quiet they are, the next moment may bring a request.
 void seeded_process::end_when_idle() {
   const bool control = context_.settings.role == seeded_role::control;
+  const milliseconds stop_time = context_.settings.stop_time;
   const milliseconds least =
-      control ? detail::control_stop : detail::balancer_notices;
+      control ? detail::control_stop : stop_time - detail::answers_margin;
   const milliseconds passed = context_.clock.now() - stop_began_;
   auto* front = registry_.find<front_service>(seeded_names::front);
   const bool idle = passed >= least && front->is_quiet();
-  const bool over = passed >= context_.settings.stop_time - detail::exit_margin;
+  const bool over = passed >= stop_time - detail::exit_margin;
   if (idle || over) {
     log_event(detail::process_name, log_level::info, "stop-ends")
         .with("cause", idle ? "quiet" : "time-over")
