--- a/daemon/entry-gateway-test.cc
+++ b/daemon/entry-gateway-test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "daemon/entry-gateway-service.h"
+#include "daemon/leader-test-parts.h"
 #include "daemon/mesh-service.h"
 
 using namespace kestrelreel;
@@ -83,13 +84,7 @@
     leader = std::make_unique<peer_mesh>(context.io, context.clock,
                                          box_id(leader_box), gateway_port);
     peer_mesh::handlers handlers;
-    handlers.on_message = [](const auto&, const auto&, const auto& stream) {
-      fleet::fleet_frame frame;
-      frame.set_from(leader_box);
-      frame.mutable_hello()->set_leader(leader_box);
-      frame.mutable_hello()->set_decides(true);
-      stream->send(frame);
-    };
+    handlers.on_message = greet_as_leader(leader_box);
     handlers.on_request = [this](const auto&, const auto& respond) {
       const reply it = replies.at(std::min(tries, replies.size() - 1));
       ++tries;
--- a/daemon/planned-stop-test.cc
+++ b/daemon/planned-stop-test.cc
@@ -18,8 +18,8 @@
 #include <vector>
 
 #include "base/text.h"
+#include "daemon/leader-test-parts.h"
 #include "daemon/seeded-process.h"
-#include "net/peer-mesh.h"
 #include "platform/fronts.h"
 
 using namespace kestrelreel;
@@ -44,13 +44,7 @@
  public:
   silent_leader() : mesh_(io_, clock_, box_id(leader_box), peers_port) {
     peer_mesh::handlers handlers;
-    handlers.on_message = [](const auto&, const auto&, const auto& stream) {
-      fleet::fleet_frame frame;
-      frame.set_from(leader_box);
-      frame.mutable_hello()->set_leader(leader_box);
-      frame.mutable_hello()->set_decides(true);
-      stream->send(frame);
-    };
+    handlers.on_message = greet_as_leader(leader_box);
     handlers.on_request = [](const auto&, const auto&) {};
     mesh_.set_handlers(std::move(handlers));
     CHECK_TRUE(mesh_.listen().ok());
