Split what a run releases off the reservations; a comment without history

What tells how soon a run can release its capacity, and at what loss, moves to releases.cc as it stands, all_releases from delayed-steps.cc with it; nothing else changes. fleet, short-room and waiting-serving pass.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -94,9 +94,7 @@
     log_event("process", log_level::error, "not-started")
         .with("error", status.message());
   }
-  // All that must last is synced. On the users' machines the libraries' own
-  // teardown kept nine stopped processes until they were killed (incident
-  // inc-6f48).
+  // All that must last is synced, and the libraries' own teardown may not end.
   std::cout.flush();
   std::_Exit(status.ok() ? 0 : exit_start);
 }
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -120,19 +120,6 @@
   return out;
 }
 
-/// Release options of all usable workers.
-std::vector<fleet_scheduler::worker_releases> fleet_scheduler::all_releases(
-    uint32_t priority, const std::set<run_key>& stopping) {
-  std::vector<worker_releases> out;
-  for (worker_view* it : candidates()) {
-    worker_releases& worker = out.emplace_back(
-        worker_releases{it, release_options(*it, priority, stopping), {}});
-    for (const release_option& option : worker.options)
-      worker.total.add(option.frees);
-  }
-  return out;
-}
-
 fleet_scheduler::fit_counts fleet_scheduler::count_fits(
     const pending_step& step, const std::vector<reclaimable>& workers) const {
   const fleet::step_spec& spec = step.spec;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -318,7 +318,7 @@
   void report_if_only_evacuated_fit(const pending_step& step,
                                     const std::vector<worker_view*>& usable);
   bool meets_constraints(const worker_view& it, const pending_step& step) const;
-  // Capacity reservations: reservations.cc.
+  // Capacity reservations: reservations.cc, releases.cc.
   bool may_evict(const run_key& run, uint32_t priority) const;
   double eviction_cost(const worker_view& it, const run_key& run) const;
   uint32_t priority_of(const task_key& step) const;
