--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -240,8 +240,7 @@
     return task == nullptr || task->phase != task_phase::running ||
            task->run != run.run;
   });
-  const fleet_scheduler::reservation_result reserved =
-      scheduler_.reserve_capacity(evicting_);
+  const reservation_result reserved = scheduler_.reserve_capacity(evicting_);
   metrics_.counter("kestrelreel_rooms_kept_total") += reserved.added;
   metrics_.counter("kestrelreel_room_looks_total") += reserved.workers_examined;
   for (const auto& [run, step] : reserved.evictions) {
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -71,7 +71,7 @@
 /// were due, ordered by priority, then interrupted tasks before new ones, then
 /// smaller tasks first: if capacity is short, interrupted services resume and
 /// more tasks serve.
-std::vector<fleet_scheduler::delayed_step> fleet_scheduler::delayed_steps(
+std::vector<delayed_step> fleet_scheduler::delayed_steps(
     milliseconds min_wait) {
   std::vector<delayed_step> out;
   const time_point now = clock_.now();
@@ -99,8 +99,7 @@
 
 /// Capacity held on each usable worker by runs that are not long-running, by
 /// kind: backfill, less urgent than `priority`, and all others.
-std::vector<fleet_scheduler::reclaimable> fleet_scheduler::reclaimable_for(
-    uint32_t priority) {
+std::vector<reclaimable> fleet_scheduler::reclaimable_for(uint32_t priority) {
   std::vector<reclaimable> out;
   for (worker_view* it : candidates()) {
     reclaimable& held = out.emplace_back(reclaimable{it, {}, {}, {}});
@@ -120,7 +119,7 @@
   return out;
 }
 
-fleet_scheduler::fit_counts fleet_scheduler::count_fits(
+fit_counts fleet_scheduler::count_fits(
     const pending_step& step, const std::vector<reclaimable>& workers) const {
   const fleet::step_spec& spec = step.spec;
   const auto rest = [](uint64_t all, uint64_t taken) {
--- a/fleet/releases.cc
+++ b/fleet/releases.cc
@@ -64,7 +64,7 @@
 
 /// Release options of the worker's runs, the cheapest first. A run is evicted
 /// only if that costs less than the wait for its end.
-std::vector<fleet_scheduler::release_option> fleet_scheduler::release_options(
+std::vector<release_option> fleet_scheduler::release_options(
     const worker_view& it, uint32_t priority,
     const std::set<run_key>& stopping) const {
   std::vector<release_option> options;
@@ -96,7 +96,7 @@
 }
 
 /// Release options of all usable workers.
-std::vector<fleet_scheduler::worker_releases> fleet_scheduler::all_releases(
+std::vector<worker_releases> fleet_scheduler::all_releases(
     uint32_t priority, const std::set<run_key>& stopping) {
   std::vector<worker_releases> out;
   for (worker_view* it : candidates()) {
@@ -111,10 +111,9 @@
 /// The first options that free the needed capacity within the limit, or none.
 /// Options that the others make redundant are removed, since each needless
 /// eviction loses work.
-std::optional<fleet_scheduler::chosen_releases>
-fleet_scheduler::choose_releases(const resources& need,
-                                 const std::vector<release_option>& options,
-                                 milliseconds limit) {
+std::optional<chosen_releases> fleet_scheduler::choose_releases(
+    const resources& need, const std::vector<release_option>& options,
+    milliseconds limit) {
   const double longest = static_cast<double>(limit.count()) / detail::ms_per_s;
   resources all;
   chosen_releases out;
--- a/fleet/reservations.cc
+++ b/fleet/reservations.cc
@@ -30,19 +30,19 @@
 
 }  // namespace detail
 
-void fleet_scheduler::resources::add(const resources& it) {
+void resources::add(const resources& it) {
   cpu += it.cpu;
   memory_mb += it.memory_mb;
   accelerators += it.accelerators;
 }
 
-void fleet_scheduler::resources::subtract(const resources& it) {
+void resources::subtract(const resources& it) {
   cpu -= it.cpu;
   memory_mb -= it.memory_mb;
   accelerators -= it.accelerators;
 }
 
-bool fleet_scheduler::resources::covers(const resources& need) const {
+bool resources::covers(const resources& need) const {
   return cpu >= need.cpu && memory_mb >= need.memory_mb &&
          accelerators >= need.accelerators;
 }
@@ -61,8 +61,8 @@
 
 /// Capacity that a worker lacks for one more task of the step. Reservations of
 /// equal or higher priority count as taken.
-fleet_scheduler::resources fleet_scheduler::shortage(
-    const worker_view& it, const pending_step& step) const {
+resources fleet_scheduler::shortage(const worker_view& it,
+                                    const pending_step& step) const {
   const fleet::step_spec& spec = step.spec;
   resources need{it.load.cpu + spec.cpu_milli(),
                  it.load.memory_mb + spec.memory_mb(),
@@ -78,11 +78,9 @@
 }
 
 /// How to free capacity for the step on a worker, if possible.
-std::optional<fleet_scheduler::reservation_plan>
-fleet_scheduler::plan_reservation(const worker_releases& worker,
-                                  const resources& need,
-                                  const pending_step& step,
-                                  milliseconds limit) const {
+std::optional<reservation_plan> fleet_scheduler::plan_reservation(
+    const worker_releases& worker, const resources& need,
+    const pending_step& step, milliseconds limit) const {
   worker_view& it = *worker.worker;
   if (!meets_constraints(it, step)) return std::nullopt;
   auto same = static_cast<uint32_t>(
@@ -125,7 +123,7 @@
   return n;
 }
 
-std::optional<fleet_scheduler::reservation_plan> fleet_scheduler::best_plan(
+std::optional<reservation_plan> fleet_scheduler::best_plan(
     const pending_step& step, std::vector<worker_releases>& workers,
     milliseconds limit, size_t& examined) const {
   std::optional<reservation_plan> best;
@@ -143,8 +141,8 @@
 }
 
 /// The least urgent reservation among those below that priority.
-std::optional<fleet_scheduler::reservation_ref>
-fleet_scheduler::find_less_urgent(uint32_t priority) {
+std::optional<reservation_ref> fleet_scheduler::find_less_urgent(
+    uint32_t priority) {
   std::optional<reservation_ref> out;
   workers_.groups().with_reservations.retain_if([&](worker_view& it) {
     for (size_t i = 0; i < it.reservations.size(); ++i) {
@@ -220,7 +218,7 @@
   }
 }
 
-fleet_scheduler::reservation_result fleet_scheduler::reserve_capacity(
+reservation_result fleet_scheduler::reserve_capacity(
     const std::set<run_key>& stopping) {
   const time_point now = clock_.now();
   const size_t n = workers_.views().size();
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -14,6 +14,7 @@
 #include "fleet/job-book.h"
 #include "fleet/job-order.h"
 #include "fleet/load-forecast.h"
+#include "fleet/reservation-types.h"
 #include "fleet/scheduler-settings.h"
 #include "fleet/short-demand.h"
 #include "fleet/worker-load.h"
@@ -49,28 +50,15 @@
   void pace(worker_view& it);
   /// Drops all state of a job that is over.
   void forget(job_number job);
-  /// A run to stop in favour of a long-running task of the step.
-  struct eviction {
-    run_key run;
-    task_key step;
-  };
-  struct reservation_result {
-    /// Reservations held, and how many of them are new.
-    size_t total = 0;
-    size_t added = 0;
-    /// Tasks without a reservation, and tasks of steps in their retry pause.
-    size_t unmet = 0;
-    size_t skipped = 0;
-    /// Workers whose release options were examined in full.
-    size_t workers_examined = 0;
-    std::vector<eviction> evictions;
-  };
   /// Reserves capacity for long-running tasks that are pending for too long and
   /// returns the runs to evict; runs in `stopping` have been ordered to stop.
   reservation_result reserve_capacity(const std::set<run_key>& stopping);
   /// Logs why long-running tasks have been pending for more than a second: at
   /// most once a second, for a few steps.
   void report_waits();
+  /// Processors of the pool's usable workers that short jobs can use; with
+  /// `backfill`, those that backfill tasks can expect to find unused.
+  double usable_cores(const std::string& pool, bool backfill);
   /// Number of evaluations of a worker for a step since the last call.
   uint64_t take_worker_evaluations() { return std::exchange(evaluations_, 0); }
 
@@ -130,92 +118,14 @@
     bool demand_recorded = false;
   };
   /// Usable workers of a pool, their processors, and the processors that their
-  /// long-running tasks hold, both in thousandths of a core.
+  /// long-running and their other tasks but backfill hold, all in thousandths
+  /// of a core.
   struct pool_use {
     uint64_t workers = 0;
     uint64_t cpu = 0;
     uint64_t long_running = 0;
+    uint64_t others = 0;
   };
-  /// An amount of each kind of capacity; `cpu` in thousandths of a core.
-  struct resources {
-    uint64_t cpu = 0;
-    uint64_t memory_mb = 0;
-    uint64_t accelerators = 0;
-
-    void add(const resources& it);
-    void subtract(const resources& it);
-    bool covers(const resources& need) const;
-  };
-  /// How soon a run can release its capacity, by ending or by eviction, and
-  /// the work lost, in seconds of a long-running task.
-  struct release_option {
-    run_key run;
-    resources frees;
-    double seconds;
-    double cost;
-    bool evict;
-  };
-  struct worker_releases {
-    worker_view* worker;
-    std::vector<release_option> options;
-    resources total;  // Of all options.
-  };
-  using chosen_releases = std::vector<const release_option*>;
-  using releases_by_priority = std::map<uint32_t, std::vector<worker_releases>>;
-  /// A possible reservation: time until the capacity is free, cost, evictions.
-  struct reservation_plan {
-    worker_view* worker;
-    double seconds;
-    double cost;
-    std::vector<run_key> evictions;
-  };
-  /// A step whose long-running tasks have been pending for too long.
-  struct delayed_step {
-    uint32_t priority;
-    time_point since;
-    task_key first;
-    uint32_t tasks;
-    uint64_t cpu;
-    // Includes tasks that never started; interrupted ones have an entry too.
-    bool includes_new;
-  };
-  /// State of one pass over all delayed steps.
-  struct reservation_round {
-    std::set<run_key> stopping;
-    releases_by_priority releases;
-    size_t max_reservations = 0;
-    size_t scans = 0;  // Of all workers.
-    size_t max_scans = 0;
-    // Time until every delayed step has had its turn.
-    milliseconds cycle{0};
-    reservation_result result;
-  };
-  struct reservation_ref {
-    worker_view* worker;
-    size_t index;
-  };
-  /// Capacity that a worker's short tasks hold: backfill tasks, tasks of less
-  /// urgent queues, and all others.
-  struct reclaimable {
-    worker_view* worker;
-    resources backfill;
-    resources less_urgent;
-    resources other;
-  };
-  /// Workers that fit a task now, or would without some of their short tasks.
-  struct fit_counts {
-    uint64_t usable = 0;
-    uint64_t excluded = 0;
-    uint64_t fit = 0;
-    uint64_t fit_cpu = 0;
-    uint64_t fit_memory = 0;
-    uint64_t without_backfill = 0;
-    uint64_t without_less_urgent = 0;
-    uint64_t without_short = 0;
-    uint64_t most_cpu = 0;
-    uint64_t most_memory = 0;
-  };
-
   std::vector<waiting_job> waiting_jobs();
   job_tracking& tracking_of(job_number number);
   bool has_tasks_to_place(job_number number, const job_entry& job);
--- a/fleet/waiting-steps.cc
+++ b/fleet/waiting-steps.cc
@@ -8,6 +8,7 @@
 namespace detail {
 
 constexpr unsigned percent = 100;
+constexpr double milli = 1'000;
 
 }  // namespace detail
 
@@ -20,10 +21,22 @@
     ++it->second.workers;
     it->second.cpu += worker->beat.cpu_milli();
     it->second.long_running += worker->load.serving_cpu;
+    it->second.others += worker->load.cpu - worker->load.serving_cpu;
   }
   return it->second;
 }
 
+double fleet_scheduler::usable_cores(const std::string& pool, bool backfill) {
+  const pool_use& use = pool_use_of(pool);
+  uint64_t taken = use.long_running;
+  if (backfill) {
+    taken = use.long_running * settings_.serving_use_percent / detail::percent +
+            use.others;
+  }
+  return static_cast<double>(use.cpu - std::min(use.cpu, taken)) /
+         detail::milli;
+}
+
 /// Processors of the pool, in thousandths of a core, that are open to
 /// long-running tasks that never started.
 uint64_t fleet_scheduler::new_task_capacity(const std::string& pool,
