--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -1,6 +1,7 @@
 // Settings of a seeded deployment.
 #include <CppUTest/TestHarness.h>
 
+#include "base/text.h"
 #include "config/seeded-settings.h"
 
 using namespace kestrelreel;
@@ -39,6 +40,37 @@
   STRCMP_EQUAL("demre", it->data_centres[1].c_str());
 }
 
+TEST(seeded_settings, decisions_are_off_unless_named) {
+  struct row {
+    const char* extra;
+    load_decisions expected;
+  };
+  const row rows[] = {
+      {"", {}},
+      {R"(, "decisions": {})", {}},
+      {R"(, "decisions": {"learn_run_times": true})", {true}},
+      {R"(, "decisions": {"learn_run_times": true, "throttle_by_slack": true,
+          "admission": true, "overload_order": true,
+          "restart_stragglers": true})",
+       {true, true, true, true, true}}};
+  for (const row& it : rows) {
+    const auto parsed = parse_seeded_settings(
+        "f", control(str_cat(R"(, "data_folder": "/d")", it.extra)));
+    const auto* settings = std::get_if<seeded_settings>(&parsed);
+    CHECK_TRUE(settings != nullptr);
+    CHECK_TRUE(it.expected == settings->decisions);
+  }
+}
+
+TEST(seeded_settings, unknown_decision_is_a_fault) {
+  for (const char* it : {R"(, "decisions": {"hold_without_leader": true})",
+                         R"(, "decisions": {"admission": "yes"})"}) {
+    const auto parsed = parse_seeded_settings(
+        "f", control(str_cat(R"(, "data_folder": "/d")", it)));
+    CHECK_TRUE(std::holds_alternative<std::vector<config_fault>>(parsed));
+  }
+}
+
 TEST(seeded_settings, box_may_listen_elsewhere_than_it_is_reached) {
   struct row {
     const char* listen;
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -43,6 +43,22 @@
   it.finish();
 }
 
+void read_decisions(fault_collector& faults, const json_node& node,
+                    seeded_settings& settings) {
+  object_reader it(faults, node, "/decisions");
+  if (settings.role == seeded_role::entry) {
+    settings.hold_without_leader = it.flag("hold_without_leader", false);
+    return it.finish();
+  }
+  load_decisions& out = settings.decisions;
+  out.learn_run_times = it.flag("learn_run_times", false);
+  out.throttle_by_slack = it.flag("throttle_by_slack", false);
+  out.admission = it.flag("admission", false);
+  out.overload_order = it.flag("overload_order", false);
+  out.restart_stragglers = it.flag("restart_stragglers", false);
+  it.finish();
+}
+
 void read_all(fault_collector& faults, const json_node& root,
               seeded_settings& settings) {
   object_reader all(faults, root, "");
@@ -70,6 +86,11 @@
       all.duration("stop_time", milliseconds(0), settings.stop_time);
   settings.log_level = all.word("log_level", {"debug", "info", "warn", "error"},
                                 settings.log_level);
+  if (all.has("decisions")) {
+    if (const json_node* it = all.node("decisions")) {
+      read_decisions(faults, *it, settings);
+    }
+  }
   if (!all.has("listen")) all.fault("listen", "nothing", "addresses");
   if (const json_node* it = all.node("listen")) {
     read_listen(faults, *it, settings);
--- a/config/seeded-settings.h
+++ b/config/seeded-settings.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "config/reader.h"
+#include "scheduling/settings.h"
 
 namespace kestrelreel {
 
@@ -54,6 +55,10 @@
   milliseconds worker_stop{1'000};
   /// From a planned stop's begin to its end.
   milliseconds stop_time{6'000};
+  /// Decisions under load of a control box, and whether an entry box holds
+  /// submissions while there is no leader.
+  load_decisions decisions;
+  bool hold_without_leader = false;
   std::string log_level = "info";
 };
 
--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -54,6 +54,7 @@
   settings.leases.duration =
       std::min(context_.settings.worker_hold, max_lease_duration);
   settings.worker_stop = context_.settings.worker_stop;
+  settings.decisions = context_.settings.decisions;
   settings.data_centres = context_.settings.data_centres;
   settings.data_centres.push_back(context_.settings.data_centre.str());
   settings.heartbeat_address = context_.settings.control_address;
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -14,6 +14,7 @@
 scheduler_settings scheduling_of(const controller_settings& it) {
   scheduler_settings out = it.scheduling;
   out.worker_stop = it.worker_stop;
+  out.decisions = it.decisions;
   return out;
 }
 
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -20,6 +20,7 @@
 #include "fleet/scheduler.h"
 #include "fleet/worker-table.h"
 #include "kernel/metrics.h"
+#include "scheduling/settings.h"
 
 namespace kestrelreel {
 
@@ -41,6 +42,7 @@
 struct controller_settings {
   lease_settings leases;
   scheduler_settings scheduling;
+  load_decisions decisions;
   /// Where workers reach this box, and up to how many workers send their
   /// heartbeats to the leader directly, which saves a hop of up to 10 ms
   /// through another box. A leader with 0.32 cores handles 700 heartbeats a
--- a/fleet/scheduler-settings.h
+++ b/fleet/scheduler-settings.h
@@ -6,11 +6,14 @@
 #include <cstdint>
 
 #include "base/clock.h"
+#include "scheduling/settings.h"
 
 namespace kestrelreel {
 
 /// Limits and weights of the scheduler.
 struct scheduler_settings {
+  /// Which decisions under load are switched on; set by the controller.
+  load_decisions decisions;
   /// Average use of a serving task's processors, in percent: slightly above the
   /// average load of services, 0.48.
   unsigned serving_use_percent = 55;
--- /dev/null
+++ b/scheduling/job-slack.h
@@ -0,0 +1,38 @@
+// How much longer a job may take without missing its objective, from the
+// progress of its tasks.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "base/clock.h"
+#include "scheduling/run-times.h"
+
+namespace kestrelreel {
+
+/// What is left of one step of a job.
+struct step_work {
+  /// Indices of earlier steps that must be done first.
+  std::vector<uint32_t> depends_on;
+  /// Time until its last task ends once its dependencies are done; zero for a
+  /// step that is done.
+  time_estimate remaining;
+};
+
+/// Remaining time of a run that has worked for `elapsed` and reports `percent`
+/// of its work done. The share of the report grows with the progress, as a task
+/// that has just begun reports mostly its start. Progress beyond 100 counts as
+/// 100; a run without progress is expected to take its whole time anew.
+time_estimate remaining_time(const time_estimate& whole, milliseconds elapsed,
+                             uint32_t percent);
+
+/// Time until the last step ends when no task waits for capacity.
+time_estimate critical_path(std::span<const step_work> steps);
+
+/// Time by which a job may be delayed and still end by its deadline with a
+/// probability of nine in ten; negative when it is expected to miss it.
+milliseconds slack_of(const time_estimate& path, time_point now,
+                      time_point deadline);
+
+}  // namespace kestrelreel
