Learn run times of tasks; remaining time and slack of jobs

Load: declared times are off and steps have long tails. By declared times a step counts whole until its last task ends, so that a job's slack is hidden while it could be used.

learned_run_times keeps decaying moments of actual over declared time for each queue and step; job_progress feeds it from ends, and joins it with the progress that heartbeats list. Only the leader's memory; a new leader begins with declared times. On only with `learn_run_times`; nothing decides by it yet.

--- a/fleet/controller-ends.cc
+++ b/fleet/controller-ends.cc
@@ -74,6 +74,7 @@
 void fleet_controller::record_end(worker_view& it, const fleet::run_end& end) {
   ++metrics_.counter("kestrelreel_run_ends_total",
                      {{"outcome", fleet::run_outcome_Name(end.outcome())}});
+  scheduler_.progress().observe_end(it, end);
   if (end.outcome() == fleet::run_done) {
     pending_successes_.insert(to_key(end.task()));
     it.failures = it.failed_jobs = it.refusals = it.avoided_times = 0;
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -119,6 +119,7 @@
     std::exchange(it.respond,
                   nullptr)(make_response(fleet::fleet_ok, "overtaken"));
   }
+  scheduler_.progress().observe_rows(it);
   it.respond = respond;
   it.call_received_at = clock_.now();
   if (held && hold_call(it)) return held();
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -339,6 +339,7 @@
   evicting_.clear();
   crash_times_.clear();
   recorded_progress_.clear();
+  scheduler_.progress().clear();
   if (!leads_) return;
   led_term_ = log_.term();
   // Tokens of an earlier leadership of this box must never match.
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -131,6 +131,7 @@
 
   const job_book& book() const { return book_; }
   const worker_table& workers() const { return workers_; }
+  job_progress& progress() { return scheduler_.progress(); }
 
  private:
   // Requests of callers and operators: controller.cc.
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -350,6 +350,7 @@
 
 void fleet_scheduler::forget(job_number job) {
   tracked_jobs_.erase(job);
+  progress_.forget(job);
   const auto of_job = [&](const auto& p) { return p.first.job == job; };
   std::erase_if(forecasts_, of_job);
   std::erase_if(retry_at_, of_job);
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -13,6 +13,7 @@
 #include "fleet/interference.h"
 #include "fleet/job-book.h"
 #include "fleet/job-order.h"
+#include "fleet/job-progress.h"
 #include "fleet/load-forecast.h"
 #include "fleet/reservation-types.h"
 #include "fleet/scheduler-settings.h"
@@ -28,7 +29,11 @@
  public:
   fleet_scheduler(scheduler_settings settings, const job_book& book,
                   worker_table& workers, clock_source& clock)
-      : settings_(settings), book_(book), workers_(workers), clock_(clock) {}
+      : settings_(settings),
+        book_(book),
+        workers_(workers),
+        clock_(clock),
+        progress_(book, workers, clock, settings.decisions.learn_run_times) {}
 
   /// Returns the starts that are possible now, the most urgent first, and
   /// records each as proposed at its worker. `wall_ms` is the time of day, for
@@ -62,6 +67,8 @@
   /// Number of evaluations of a worker for a step since the last call.
   uint64_t take_worker_evaluations() { return std::exchange(evaluations_, 0); }
 
+  /// Progress of live jobs, which the controller feeds.
+  job_progress& progress() { return progress_; }
   /// True if a start of the task is proposed but not yet in the book.
   bool is_proposed(const task_key& task) const;
 
@@ -263,6 +270,7 @@
   const job_book& book_;
   worker_table& workers_;
   clock_source& clock_;
+  job_progress progress_;
   interference_model model_;
   short_demand short_demand_;
   // By pool, cached for one plan or reservation pass.
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -71,6 +71,16 @@
   time_point until{};
 };
 
+/// Progress of a run since its worker listed it for the first time.
+struct run_state {
+  /// Work so far, as time at full pace.
+  milliseconds worked{0};
+  time_point observed_at{};
+  /// When the reported progress last rose.
+  time_point advanced_at{};
+  uint32_t percent = 0;
+};
+
 /// One incarnation of a worker.
 struct worker_view {
   worker_id id;
@@ -107,6 +117,8 @@
   bool superseded = false;
   /// The runs that the last heartbeat listed.
   std::map<run_key, fleet::running_row> rows;
+  /// Progress of the runs that have an end, if run times are learned.
+  std::map<run_key, run_state> run_states;
   /// When the start order of a run was last sent.
   std::map<run_key, time_point> starts_sent_at;
   /// Committed starts that no answer has carried yet, with the time until which
--- a/scheduling/job-slack.cc
+++ b/scheduling/job-slack.cc
@@ -5,39 +5,46 @@
 namespace kestrelreel {
 namespace detail {
 
-constexpr uint32_t full_percent = 100;
+constexpr int64_t full_percent = 100;
 
 }  // namespace detail
 
-time_estimate remaining_time(const time_estimate& whole, milliseconds elapsed,
+time_estimate remaining_time(const time_estimate& whole, milliseconds worked,
                              uint32_t percent) {
-  const auto done =
-      static_cast<int64_t>(std::min(percent, detail::full_percent));
-  const int64_t left = static_cast<int64_t>(detail::full_percent) - done;
-  const time_estimate declared{whole.expected * left / 100,
-                               whole.high * left / 100};
-  if (done == 0) return declared;
-  const milliseconds paced = elapsed * left / done;
-  const auto blend = [&](milliseconds it) {
-    return (it * left + paced * done) / 100;
+  const int64_t done = std::min<int64_t>(percent, detail::full_percent);
+  const int64_t left = detail::full_percent - done;
+  const auto remaining = [&](milliseconds whole_run) {
+    const milliseconds by_kind = whole_run * left / detail::full_percent;
+    if (done == 0) return by_kind;
+    const milliseconds by_pace = worked * left / done;
+    return (by_kind * left + by_pace * done) / detail::full_percent;
   };
-  return {blend(declared.expected), blend(declared.high)};
+  return {remaining(whole.expected), remaining(whole.high)};
+}
+
+std::vector<time_estimate> time_after(std::span<const step_work> steps) {
+  std::vector<time_estimate> after(steps.size());
+  for (size_t i = steps.size(); i-- > 0;) {
+    const time_estimate from_start{
+        after[i].expected + steps[i].remaining.expected,
+        after[i].high + steps[i].remaining.high};
+    for (const uint32_t on : steps[i].depends_on) {
+      if (on >= i) continue;
+      after[on].expected = std::max(after[on].expected, from_start.expected);
+      after[on].high = std::max(after[on].high, from_start.high);
+    }
+  }
+  return after;
 }
 
 time_estimate critical_path(std::span<const step_work> steps) {
-  std::vector<time_estimate> ends;
+  const std::vector<time_estimate> after = time_after(steps);
   time_estimate longest;
-  for (const step_work& it : steps) {
-    time_estimate start;
-    for (const uint32_t on : it.depends_on) {
-      if (on >= ends.size()) continue;
-      start.expected = std::max(start.expected, ends[on].expected);
-      start.high = std::max(start.high, ends[on].high);
-    }
-    ends.push_back({start.expected + it.remaining.expected,
-                    start.high + it.remaining.high});
-    longest.expected = std::max(longest.expected, ends.back().expected);
-    longest.high = std::max(longest.high, ends.back().high);
+  for (size_t i = 0; i < steps.size(); ++i) {
+    const time_estimate& own = steps[i].remaining;
+    longest.expected =
+        std::max(longest.expected, own.expected + after[i].expected);
+    longest.high = std::max(longest.high, own.high + after[i].high);
   }
   return longest;
 }
--- a/scheduling/job-slack.h
+++ b/scheduling/job-slack.h
@@ -20,13 +20,18 @@
   time_estimate remaining;
 };
 
-/// Remaining time of a run that has worked for `elapsed` and reports `percent`
-/// of its work done. The share of the report grows with the progress, as a task
-/// that has just begun reports mostly its start. Progress beyond 100 counts as
-/// 100; a run without progress is expected to take its whole time anew.
-time_estimate remaining_time(const time_estimate& whole, milliseconds elapsed,
+/// Remaining time of a run that has worked for `worked` at full pace and
+/// reports `percent` of its work done. Joins the estimate of its kind and its
+/// own pace; the weight of its pace grows with the progress, as a task that has
+/// just begun reports mostly its start. Progress beyond 100 counts as 100; a
+/// run without progress is expected to take its whole time.
+time_estimate remaining_time(const time_estimate& whole, milliseconds worked,
                              uint32_t percent);
 
+/// For each step, the time from its end until the last step that depends on it
+/// ends. A dependency on a later step is ignored.
+std::vector<time_estimate> time_after(std::span<const step_work> steps);
+
 /// Time until the last step ends when no task waits for capacity.
 time_estimate critical_path(std::span<const step_work> steps);
 
