Move the throttling of backfill into a decision of its own

throttle() takes costs, uses and slacks and returns paces, without the scheduler's state; the scheduler passes a slack of zero for every task, by which each lost processor counts whole, as before.

--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "fleet/scheduler.h"
+#include "scheduling/backfill-throttle.h"
 
 namespace kestrelreel {
 namespace detail {
@@ -19,6 +20,8 @@
 constexpr double excess_weight = 0.3;
 constexpr double excess_noise = 0.03;
 constexpr double max_excess = 0.2;
+/// A pace holds for the interval between two readings and an order's way.
+constexpr milliseconds review_interval{1'000};
 /// Processors of the reference worker to which uses and costs are scaled.
 constexpr double reference_cpu_milli = 32'000;
 /// Pace granularity in percent, so that noise triggers no orders.
@@ -284,39 +287,27 @@
 }
 
 /// Lowers the shares of backfill tasks until a serving task on the worker meets
-/// its target, those with the highest cost per processor first. Does nothing if
-/// that would lose more than `max_backfill_loss_cores`.
+/// its target, if that costs their jobs little enough.
 void fleet_scheduler::throttle_backfill(const worker_view& it,
                                         const serving_task& task,
                                         std::vector<backfill_task>& tasks) {
-  const image_id image = task.image;
   const auto known = it.load_excess.find(task.run);
   const double excess = known == it.load_excess.end() ? 0 : known->second;
   const double spare = max_load - std::clamp(excess - detail::excess_noise, 0.0,
                                              detail::max_excess);
   const double own = own_load(task.run.task, detail::order_age);
   double over = 1 - spare / own;
-  std::vector<std::pair<double, backfill_task*>> costs;
-  for (backfill_task& backfill : tasks) {
-    const double cost = model_.cost(image, backfill.image);
+  std::vector<throttle_candidate> candidates;
+  for (const backfill_task& backfill : tasks) {
+    const double cost = model_.cost(task.image, backfill.image);
     over += cost * backfill.full_use * backfill.share;
-    costs.emplace_back(cost, &backfill);
-  }
-  std::stable_sort(
-      costs.begin(), costs.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<double> shares;
-  double lost = 0;
-  for (const auto& [cost, backfill] : costs) {
-    const double part = cost * backfill->full_use * backfill->share;
-    const double remaining =
-        over <= 0 || part <= 0 ? 1 : std::max(0.0, 1 - over / part);
-    over -= part * (1 - remaining);
-    lost += backfill->full_use * backfill->share * (1 - remaining);
-    shares.push_back(backfill->share * remaining);
+    candidates.push_back(
+        {cost, backfill.full_use, backfill.share, backfill.slack});
   }
-  if (lost > settings_.max_backfill_loss_cores) return;
-  for (size_t i = 0; i < shares.size(); ++i) costs[i].second->share = shares[i];
+  const std::vector<double> shares =
+      throttle(over, candidates,
+               {settings_.max_backfill_loss_cores, detail::review_interval});
+  for (size_t i = 0; i < shares.size(); ++i) tasks[i].share = shares[i];
 }
 
 /// Share of full pace that a new backfill task could reach on the worker in
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -101,6 +101,8 @@
     double use;
     double full_use;
     double share;  // Allowed pace, of full pace.
+    // How long the task may stand still; zero if slack does not count.
+    milliseconds slack{0};
   };
   struct waiting_job {
     job_order order;
--- a/scheduling/backfill-throttle.h
+++ b/scheduling/backfill-throttle.h
@@ -30,14 +30,16 @@
   milliseconds review_interval{0};
 };
 
-/// How much of a processor lost by a job with this slack counts: nothing if the
-/// slack outlasts the next decisions, all of it without slack.
+/// How much of a processor lost by a job with this slack counts: all of it
+/// without slack, nothing if the slack outlasts the next two decisions.
 double loss_weight(milliseconds slack, milliseconds review_interval);
 
 /// New paces, in the order of the tasks, that lower the serving task's load by
 /// `excess` (a share of its own load) as far as possible: tasks with the
 /// highest cost for the least loss are slowed first. Leaves all paces as they
-/// are if jobs without slack would lose more than `max_loss`.
+/// are if jobs would lose more than `max_loss`, weighted by their slack: the
+/// target is then missed, and slowing some of the tasks would only add late
+/// jobs.
 std::vector<double> throttle(double excess,
                              std::span<const throttle_candidate> tasks,
                              const throttle_limits& limits);
