Backfill gives way to serving tasks as far as its jobs' slack allows

One constant of processors was the price of a target.

A processor lost by a job with slack counts less, and nothing once the slack outlasts two reviews. What counts is the least of the run's slack and that of the pool's jobs when they share its processors by deadline, less one more run of the task, in case it fails. On with `throttle_by_slack`.

--- a/fleet/job-progress.cc
+++ b/fleet/job-progress.cc
@@ -125,14 +125,26 @@
   const job_entry* job = book_.find(number);
   if (job == nullptr || job->times.empty()) return out;
   std::vector<step_work> steps;
+  std::vector<step_work> whole_steps;
   for (uint32_t i = 0; i < job->times.front().size(); ++i) {
     steps.push_back(step_work_of(*job, number, i, out.core_seconds));
+    whole_steps.push_back({steps.back().depends_on, run_time(*job, i)});
   }
   out.after = time_after(steps);
   out.path = critical_path(steps);
+  out.whole = critical_path(whole_steps).expected;
   return out;
 }
 
+milliseconds job_progress::objective(job_number number) {
+  const job_entry* job = book_.find(number);
+  if (job == nullptr) return milliseconds(0);
+  const fleet::queue_route& queue = book_.queue_of(*job);
+  const auto whole = static_cast<double>(work_of(number).whole.count());
+  return milliseconds(static_cast<int64_t>(queue.stretch() * whole)) +
+         milliseconds(static_cast<int64_t>(queue.objective_ms()));
+}
+
 time_estimate job_progress::remaining(job_number job) {
   return work_of(job).path;
 }
--- a/fleet/job-progress.h
+++ b/fleet/job-progress.h
@@ -36,6 +36,9 @@
   /// Processor time that the job still needs without its long-running tasks, in
   /// core-seconds.
   double remaining_work(job_number job);
+  /// Time from acceptance within which the job should end, by what its steps
+  /// take rather than what was declared.
+  milliseconds objective(job_number job);
   /// How long the run may stand still while its job can end by `deadline`.
   milliseconds slack(const run_key& run, time_point deadline);
   /// Estimate of a whole run of a task of the step at full pace.
@@ -47,6 +50,8 @@
   struct job_work {
     time_point at{};
     time_estimate path;
+    // Of all steps, those that are done included.
+    milliseconds whole{0};
     std::vector<time_estimate> after;
     double core_seconds = 0;
   };
--- a/fleet/load-replay-test.cc
+++ b/fleet/load-replay-test.cc
@@ -22,10 +22,42 @@
   return sum.share();
 }
 
+/// Share of their time at work for which serving tasks are over their target.
+double over_target(const char* pattern, const scheduler_settings& settings) {
+  double over = 0;
+  double at_work = 0;
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto out =
+        emulator::play(*emulator::find_pattern(pattern), settings, seed);
+    over += out.over_s;
+    at_work += out.at_work_s;
+  }
+  return over / at_work;
+}
+
+scheduler_settings throttle_by_slack() {
+  scheduler_settings settings;
+  settings.decisions.learn_run_times = true;
+  settings.decisions.throttle_by_slack = true;
+  return settings;
+}
+
 }  // namespace
 
 TEST_GROUP(load_replay){};
 
+// Backfill jobs with time to spare were run at the cost of serving tasks.
+TEST(load_replay, calm_backfill_gives_way_to_targets) {
+  CHECK_TRUE(over_target("calm", throttle_by_slack()) <
+             over_target("calm", {}));
+  CHECK_TRUE(earned("calm", "fill", throttle_by_slack()) >= 0.97);
+}
+
+// In a burst no job has time to spare, and none is made late.
+TEST(load_replay, pressed_backfill_keeps_its_pace) {
+  CHECK_TRUE(earned("fill-over-serving", "fill", throttle_by_slack()) >= 0.68);
+}
+
 // Backfill demand for all free processors: if a target may cost 3 to 12
 // processors, more backfill jobs are late.
 TEST(load_replay, fill_jobs_are_in_time_beside_serving_tasks) {
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -204,6 +204,8 @@
   std::vector<backfill_task> backfill_tasks(const worker_view& it);
   void update_model(worker_view& it, const serving_task& task,
                     const std::vector<image_use>& use);
+  milliseconds backfill_slack(const run_key& run);
+  milliseconds pool_slack(const std::string& pool);
   void throttle_backfill(const worker_view& it, const serving_task& task,
                          std::vector<backfill_task>& tasks);
   double added_load(image_id serving, const std::vector<image_use>& use) const;
@@ -280,6 +282,12 @@
   // Load forecasts of serving steps, by first task.
   std::map<task_key, load_forecast> forecasts_;
   std::unordered_map<job_number, job_tracking> tracked_jobs_;
+  // Least slack of each pool's backfill jobs, for a short time.
+  struct known_slack {
+    time_point at{};
+    milliseconds least = milliseconds::max();
+  };
+  std::map<std::string, known_slack> pool_slacks_;
   // Steps logged as possible only on evacuated workers.
   std::set<task_key> reported_only_evacuated_;
   // Next attempt for a step that did not fit, by first task.
--- a/scheduling/job-slack-test.cc
+++ b/scheduling/job-slack-test.cc
@@ -77,3 +77,37 @@
       -500,
       slack_of(estimate(2'000, 4'000), now, now + milliseconds(3'500)).count());
 }
+
+TEST(job_slack, least_slack_counts_the_work_ahead) {
+  struct row {
+    const char* name;
+    std::vector<due_work> jobs;
+    double cores;
+    int64_t least_ms;
+  };
+  const time_point now(50'000);
+  const auto job = [&](double work, int path_ms, int due_ms) {
+    return due_work{work, milliseconds(path_ms), now + milliseconds(due_ms)};
+  };
+  const row rows[] = {
+      {"no jobs", {}, 10, milliseconds::max().count()},
+      {"own path binds", {job(10, 2'000, 5'000)}, 10, 3'000},
+      {"processors bind", {job(40, 2'000, 5'000)}, 10, 1'000},
+      {"work ahead binds",
+       {job(40, 1'000, 9'000), job(40, 1'000, 10'000)},
+       10,
+       2'000},
+      {"not all in time",
+       {job(40, 1'000, 5'000), job(40, 1'000, 6'000)},
+       10,
+       -2'000},
+      {"late by its own path does not count",
+       {job(40, 6'000, 5'000), job(10, 1'000, 6'000)},
+       10,
+       5'000},
+      {"no processors", {job(40, 1'000, 5'000)}, 0, 5'000 - 1'000'000'000}};
+  for (const row& it : rows) {
+    LONGS_EQUAL_TEXT(it.least_ms, least_slack(it.jobs, it.cores, now).count(),
+                     it.name);
+  }
+}
--- a/scheduling/job-slack.cc
+++ b/scheduling/job-slack.cc
@@ -6,6 +6,16 @@
 namespace detail {
 
 constexpr int64_t full_percent = 100;
+constexpr double ms_per_s = 1'000;
+/// Longer times are as good as never.
+constexpr double max_time_ms = 1e9;
+
+/// Time in which the processors do the work.
+milliseconds time_for(double core_seconds, double cores) {
+  if (core_seconds <= 0) return milliseconds(0);
+  const double ms = cores > 0 ? core_seconds / cores * ms_per_s : max_time_ms;
+  return milliseconds(static_cast<int64_t>(std::min(ms, max_time_ms)));
+}
 
 }  // namespace detail
 
@@ -54,4 +64,21 @@
   return deadline - now - path.high;
 }
 
+milliseconds least_slack(std::vector<due_work> jobs, double cores,
+                         time_point now) {
+  std::erase_if(jobs,
+                [&](const auto& it) { return it.deadline - now < it.path; });
+  std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
+    return a.deadline < b.deadline;
+  });
+  milliseconds least = milliseconds::max();
+  double work = 0;
+  for (const due_work& it : jobs) {
+    work += it.core_seconds;
+    const milliseconds shared = detail::time_for(work, cores);
+    least = std::min(least, it.deadline - now - std::max(it.path, shared));
+  }
+  return least;
+}
+
 }  // namespace kestrelreel
--- a/scheduling/job-slack.h
+++ b/scheduling/job-slack.h
@@ -40,4 +40,18 @@
 milliseconds slack_of(const time_estimate& path, time_point now,
                       time_point deadline);
 
+/// What is left of a job that shares processors with others.
+struct due_work {
+  double core_seconds = 0;
+  /// Time that it needs if no task waits for capacity.
+  milliseconds path{0};
+  time_point deadline{};
+};
+
+/// Least slack of the jobs that can still meet their deadlines by their own
+/// paths, if they get `cores` processors in the order of deadlines; the longest
+/// time without such jobs. Negative if not all of them can be in time.
+milliseconds least_slack(std::vector<due_work> jobs, double cores,
+                         time_point now);
+
 }  // namespace kestrelreel
--- a/support/emulator/emulation.cc
+++ b/support/emulator/emulation.cc
@@ -71,6 +71,7 @@
     const scheduler_settings& scheduling) {
   controller_settings settings;
   settings.scheduling = scheduling;
+  settings.decisions = scheduling.decisions;
   settings.wall_clock_ms = [this] {
     return static_cast<uint64_t>(clock_.at.count());
   };
--- a/support/emulator/main.cc
+++ b/support/emulator/main.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -24,17 +25,35 @@
 target, and the decisions' time for 100 ms played.
 
 Options:
-  --way NAME   The way that is tried: `kept`, or one of the rates at which fill
+  --way NAME   The way that is tried: `kept`; one of the rates at which fill
                work gives way to targets: rate-0, rate-1.5, rate-4, rate-12
-               (processors of a worker with 32). [default: kept]
+               (processors of a worker with 32); or decisions under load, by
+               the names in a box's settings joined by commas. [default: kept]
   --seeds N    How many seeds. [default: 5]
 )";
 
+/// Switches on the decisions named; false when one is unknown.
+bool switch_on(const std::string& names, load_decisions& out) {
+  const std::map<std::string, bool load_decisions::*> all{
+      {"learn_run_times", &load_decisions::learn_run_times},
+      {"throttle_by_slack", &load_decisions::throttle_by_slack},
+      {"admission", &load_decisions::admission},
+      {"overload_order", &load_decisions::overload_order},
+      {"restart_stragglers", &load_decisions::restart_stragglers}};
+  std::istringstream in(names);
+  for (std::string name; std::getline(in, name, ',');) {
+    const auto found = all.find(name);
+    if (found == all.end()) return false;
+    out.*found->second = true;
+  }
+  return true;
+}
+
 /// The settings of a way; false when it is unknown.
 bool settings_of(const std::string& way, scheduler_settings& settings) {
   if (way == "kept") return true;
   constexpr std::string_view prefix = "rate-";
-  if (!way.starts_with(prefix)) return false;
+  if (!way.starts_with(prefix)) return switch_on(way, settings.decisions);
   settings.max_backfill_loss_cores = std::stod(way.substr(prefix.size()));
   return true;
 }
