--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -33,6 +33,16 @@
 constexpr size_t fleet_compaction_bytes = 12 << 20;
 constexpr uint64_t fleet_compaction_entries = 20'000;
 
+void log_decisions(const load_decisions& it) {
+  const auto on = [](bool flag) { return flag ? "on" : "off"; };
+  log_event(service_name, log_level::info, "decisions")
+      .with("learn-run-times", on(it.learn_run_times))
+      .with("throttle-by-slack", on(it.throttle_by_slack))
+      .with("admission", on(it.admission))
+      .with("overload-order", on(it.overload_order))
+      .with("restart-stragglers", on(it.restart_stragglers));
+}
+
 }  // namespace detail
 
 fleet_record_service::fleet_record_service(seeded_context& context)
@@ -73,6 +83,7 @@
     on_request(frame, std::move(respond));
   };
   mesh_->set_handlers(std::move(handlers));
+  detail::log_decisions(context_.settings.decisions);
   const absl::Status status = start_replica();
   if (!status.ok()) return status;
   tick_timer_.start(detail::fleet_tick, [this] { tick(); });
--- /dev/null
+++ b/fleet/backfill-slack.cc
@@ -0,0 +1,69 @@
+// How long backfill runs may stand still without making a job late.
+#include <algorithm>
+
+#include "fleet/scheduler.h"
+#include "kernel/log.h"
+
+namespace kestrelreel {
+namespace detail {
+
+constexpr const char* service_name = "scheduler";
+/// How long a pool's slack is used before it is computed anew.
+constexpr milliseconds pool_slack_lifetime{250};
+
+bool has_backfill(const fleet::fleet_job_spec& job) {
+  const auto& steps = job.steps();
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const auto& it) { return it.fills(); });
+}
+
+}  // namespace detail
+
+/// Least slack of the pool's backfill jobs if they share its processors in the
+/// order of their deadlines. A processor that one of them loses is lost to all
+/// that follow, so that no job has more slack than this.
+milliseconds fleet_scheduler::pool_slack(const std::string& pool) {
+  const time_point now = clock_.now();
+  known_slack& out = pool_slacks_[pool];
+  if (out.at != time_point{} && now - out.at < detail::pool_slack_lifetime)
+    return out.least;
+  std::vector<due_work> jobs;
+  for (const auto& [order, number] : book_.live()) {
+    const job_entry& job = *book_.find(number);
+    if (!detail::has_backfill(job.spec) || book_.queue_of(job).pool() != pool)
+      continue;
+    jobs.push_back(
+        {progress_.remaining_work(number), progress_.remaining(number).high,
+         tracking_of(number).accepted + progress_.objective(number)});
+  }
+  const double cores = usable_cores(pool, true);
+  const bool had_slack = out.least > milliseconds(0);
+  out = {now, least_slack(jobs, cores, now)};
+  if (had_slack != (out.least > milliseconds(0)))
+    log_pool_slack(pool, out.least, jobs.size(), cores);
+  return out.least;
+}
+
+void fleet_scheduler::log_pool_slack(const std::string& pool,
+                                     milliseconds least, size_t jobs,
+                                     double cores) {
+  log_event(detail::service_name, log_level::info, "backfill-slack")
+      .with("pool", pool)
+      .with("least-ms", least.count())
+      .with("jobs", jobs)
+      .with("cores", cores);
+}
+
+/// How long a backfill run may stand still without making a job late, even if a
+/// task then fails and runs anew.
+milliseconds fleet_scheduler::backfill_slack(const run_key& run) {
+  const job_entry* job = book_.find(run.task.job);
+  if (job == nullptr) return milliseconds(0);
+  const time_point deadline =
+      tracking_of(run.task.job).accepted + progress_.objective(run.task.job);
+  const milliseconds slack = std::min(progress_.slack(run, deadline),
+                                      pool_slack(book_.queue_of(*job).pool()));
+  return slack - progress_.run_time(*job, run.task.step).expected;
+}
+
+}  // namespace kestrelreel
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -22,7 +22,6 @@
 constexpr double max_excess = 0.2;
 /// A pace holds for the interval between two readings and an order's way.
 constexpr milliseconds review_interval{1'000};
-constexpr milliseconds pool_slack_lifetime{250};
 /// Processors of the reference worker to which uses and costs are scaled.
 constexpr double reference_cpu_milli = 32'000;
 /// Pace granularity in percent, so that noise triggers no orders.
@@ -65,12 +64,6 @@
   return {task.job, task.time, task.step, 0};
 }
 
-bool has_backfill(const fleet::fleet_job_spec& job) {
-  const auto& steps = job.steps();
-  return std::any_of(steps.begin(), steps.end(),
-                     [](const auto& it) { return it.fills(); });
-}
-
 double reference_use(const fleet::worker_beat& beat, double cpu_milli) {
   const auto capacity =
       static_cast<double>(std::max<uint64_t>(beat.cpu_milli(), 1));
@@ -115,39 +108,6 @@
   return all;
 }
 
-/// Least slack of the pool's backfill jobs if they share its processors in the
-/// order of their deadlines. A processor that one of them loses is lost to all
-/// that follow, so that no job has more slack than this.
-milliseconds fleet_scheduler::pool_slack(const std::string& pool) {
-  const time_point now = clock_.now();
-  known_slack& out = pool_slacks_[pool];
-  if (out.at != time_point{} && now - out.at < detail::pool_slack_lifetime)
-    return out.least;
-  std::vector<due_work> jobs;
-  for (const auto& [order, number] : book_.live()) {
-    const job_entry& job = *book_.find(number);
-    if (!detail::has_backfill(job.spec) || book_.queue_of(job).pool() != pool)
-      continue;
-    jobs.push_back(
-        {progress_.remaining_work(number), progress_.remaining(number).high,
-         tracking_of(number).accepted + progress_.objective(number)});
-  }
-  out = {now, least_slack(jobs, usable_cores(pool, true), now)};
-  return out.least;
-}
-
-/// How long a backfill run may stand still without making a job late, even if a
-/// task then fails and runs anew.
-milliseconds fleet_scheduler::backfill_slack(const run_key& run) {
-  const job_entry* job = book_.find(run.task.job);
-  if (job == nullptr) return milliseconds(0);
-  const time_point deadline =
-      tracking_of(run.task.job).accepted + progress_.objective(run.task.job);
-  const milliseconds slack = std::min(progress_.slack(run, deadline),
-                                      pool_slack(book_.queue_of(*job).pool()));
-  return slack - progress_.run_time(*job, run.task.step).expected;
-}
-
 /// Updates the model from a heartbeat and sets the worker's backfill paces.
 void fleet_scheduler::pace(worker_view& it) {
   const std::vector<serving_task> serving = serving_tasks(it);
@@ -349,7 +309,11 @@
   const std::vector<double> shares =
       throttle(over, candidates,
                {settings_.max_backfill_loss_cores, detail::review_interval});
-  for (size_t i = 0; i < shares.size(); ++i) tasks[i].share = shares[i];
+  for (size_t i = 0; i < shares.size(); ++i) {
+    const bool slowed = shares[i] < tasks[i].share;
+    if (slowed && tasks[i].slack > milliseconds(0)) ++throttled_by_slack_;
+    tasks[i].share = shares[i];
+  }
 }
 
 /// Share of full pace that a new backfill task could reach on the worker in
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -67,6 +67,10 @@
   /// Number of evaluations of a worker for a step since the last call.
   uint64_t take_worker_evaluations() { return std::exchange(evaluations_, 0); }
 
+  /// Number of paces lowered at the cost of slack since the last call.
+  uint64_t take_throttled_by_slack() {
+    return std::exchange(throttled_by_slack_, 0);
+  }
   /// Progress of live jobs, which the controller feeds.
   job_progress& progress() { return progress_; }
   /// True if a start of the task is proposed but not yet in the book.
@@ -206,6 +210,8 @@
                     const std::vector<image_use>& use);
   milliseconds backfill_slack(const run_key& run);
   milliseconds pool_slack(const std::string& pool);
+  static void log_pool_slack(const std::string& pool, milliseconds least,
+                             size_t jobs, double cores);
   void throttle_backfill(const worker_view& it, const serving_task& task,
                          std::vector<backfill_task>& tasks);
   double added_load(image_id serving, const std::vector<image_use>& use) const;
@@ -319,6 +325,7 @@
   // Ordinal of the worker at which the last search for moves ended.
   uint64_t last_move_ordinal_ = 0;
   uint64_t evaluations_ = 0;
+  uint64_t throttled_by_slack_ = 0;
 };
 
 /// True if the worker's heartbeat lists the label.
