Hold submissions while there is no leader

Load: no leader for seconds (an election, all control boxes down).

submission_hold keeps what was surely not taken in the order of deadlines, releases a few at once when a leader is in reach, and tells what cannot be sent in time any more: that is answered "unavailable" while its caller still listens. Bounded in number; reads, cancels and what may have run are not held. On with `hold_without_leader` at an entry box.

--- /dev/null
+++ b/daemon/entry-gateway-question.h
@@ -0,0 +1,26 @@
+// A request of a caller on its way to the leader.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "daemon/entry-gateway-service.h"
+
+namespace kestrelreel {
+
+/// The request and what became of its tries.
+struct entry_gateway_service::question {
+  question(boost::asio::io_context& io, fleet::fleet_request r)
+      : timer(io), request(std::move(r)) {}
+  boost::asio::steady_timer timer;
+  fleet::fleet_request request;
+  respond_function respond;
+  time_point asked{};
+  time_point deadline{};
+  bool may_have_run = false;
+  milliseconds connecting{0};
+  unsigned tries = 0;
+  unsigned unanswered = 0;
+  box_id last_asked;
+};
+
+}  // namespace kestrelreel
--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -5,6 +5,7 @@
 
 #include "base/text.h"
 #include "daemon/ask-again.h"
+#include "daemon/entry-gateway-question.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -30,21 +31,6 @@
 
 }  // namespace detail
 
-struct entry_gateway_service::question {
-  question(boost::asio::io_context& io, fleet::fleet_request r)
-      : timer(io), request(std::move(r)) {}
-  boost::asio::steady_timer timer;
-  fleet::fleet_request request;
-  respond_function respond;
-  time_point asked{};
-  time_point deadline{};
-  bool may_have_run = false;
-  milliseconds connecting{0};
-  unsigned tries = 0;
-  unsigned unanswered = 0;
-  box_id last_asked;
-};
-
 absl::Status entry_gateway_service::start(service_registry& registry) {
   mesh_ = &registry.find<mesh_service>(seeded_names::mesh)->mesh();
   peer_mesh::handlers handlers;
@@ -72,6 +58,7 @@
   const bool told = frame.hello().config_version() > 0;
   if (told && on_bounds_) on_bounds_(frame.hello().bounds());
   tick();
+  serve_held();
 }
 
 void entry_gateway_service::tick() {
@@ -193,19 +180,26 @@
       if (!ec) try_now(it);
     });
   }
-  if (it->may_have_run) last.set_status(fleet::fleet_unknown);
+  if (may_hold(*it, last)) return hold(it);
+  give_up(*it, std::move(last));
+}
+
+void entry_gateway_service::give_up(const question& it,
+                                    fleet::fleet_response last) {
+  const time_point now = context_.clock.now();
+  if (it.may_have_run) last.set_status(fleet::fleet_unknown);
   if (last.status() == fleet::fleet_unavailable) {
     last.set_retry_after_ms(static_cast<uint64_t>(detail::back_after.count()));
   }
   log_event(detail::gateway_name, log_level::warn, "request-given-up")
-      .with("job", it->request.has_job() ? it->request.job().path() : "")
+      .with("job", it.request.has_job() ? it.request.job().path() : "")
       .with("cause", last.reason())
-      .with("waited-ms", (now - it->asked).count())
-      .with("may-have-run", it->may_have_run ? "yes" : "no")
-      .with("tries", it->tries)
-      .with("unanswered", it->unanswered)
-      .with("last-asked", it->last_asked.str());
-  it->respond(std::move(last));
+      .with("waited-ms", (now - it.asked).count())
+      .with("may-have-run", it.may_have_run ? "yes" : "no")
+      .with("tries", it.tries)
+      .with("unanswered", it.unanswered)
+      .with("last-asked", it.last_asked.str());
+  it.respond(std::move(last));
 }
 
 }  // namespace kestrelreel
--- a/daemon/entry-gateway-service.h
+++ b/daemon/entry-gateway-service.h
@@ -4,12 +4,14 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "daemon/leader-finder.h"
 #include "daemon/mesh-service.h"
 #include "daemon/repeating-timer.h"
 #include "daemon/seeded-context.h"
+#include "daemon/submission-hold.h"
 #include "fleet/gateway.h"
 
 namespace kestrelreel {
@@ -18,14 +20,17 @@
 class entry_gateway_service final : public service, public fleet_gateway {
  public:
   explicit entry_gateway_service(seeded_context& context)
-      : context_(context), tick_timer_(context.io) {}
+      : context_(context), tick_timer_(context.io), hold_timer_(context.io) {}
 
   std::string_view name() const override { return seeded_names::gateway; }
   std::vector<std::string> dependencies() const override {
     return {seeded_names::mesh};
   }
   absl::Status start(service_registry& registry) override;
-  void stop() override { tick_timer_.stop(); }
+  void stop() override {
+    tick_timer_.stop();
+    hold_timer_.cancel();
+  }
 
   void ask(const fleet::fleet_request& request, milliseconds limit,
            respond_function respond) override;
@@ -46,6 +51,12 @@
   void try_now(const std::shared_ptr<question>& it);
   void try_later(const std::shared_ptr<question>& it,
                  fleet::fleet_response last);
+  void give_up(const question& it, fleet::fleet_response last);
+  bool may_hold(const question& it, const fleet::fleet_response& last) const;
+  void hold(const std::shared_ptr<question>& it);
+  void serve_held();
+  std::shared_ptr<question> take_held(submission_id id);
+  void end_held(submission_id id);
   void note_outcome(question& it, const box_id& target,
                     fleet::fleet_status status, time_point since);
   void note_refusal(const question& it,
@@ -61,6 +72,11 @@
   box_id last_target_;
   std::function<void(const fleet::request_bounds&)> on_bounds_;
   repeating_timer tick_timer_;
+  submission_hold hold_;
+  std::map<submission_id, std::shared_ptr<question>> held_;
+  submission_id last_held_;
+  boost::asio::steady_timer hold_timer_;
+  bool hold_timer_armed_ = false;
 };
 
 }  // namespace kestrelreel
--- a/daemon/entry-gateway-test.cc
+++ b/daemon/entry-gateway-test.cc
@@ -245,3 +245,54 @@
   LONGS_EQUAL(fleet::fleet_unavailable, *status);
   LONGS_EQUAL(0, tries);
 }
+
+// Submissions were given up 200 ms after they came, while a new leader was a
+// second away and their callers waited for three.
+TEST(entry_gateway, submission_waits_for_a_leader) {
+  struct row {
+    const char* name;
+    bool holds;
+    asked what;
+    size_t leaderless_tries;
+    fleet::fleet_status status;
+  };
+  const row rows[] = {
+      {"off", false, asked::submit, 8, fleet::fleet_unavailable},
+      {"held", true, asked::submit, 8, fleet::fleet_ok},
+      {"no leader in time", true, asked::submit, 1'000,
+       fleet::fleet_unavailable},
+      {"a read is not held", true, asked::state, 8, fleet::fleet_unavailable},
+      {"a cancel is not held", true, asked::cancel, 8,
+       fleet::fleet_unavailable},
+  };
+  for (const row& it : rows) {
+    context.settings.hold_without_leader = it.holds;
+    std::vector<reply> replies_then_ok(it.leaderless_tries, reply::unavailable);
+    replies_then_ok.push_back(reply::ok);
+    LONGS_EQUAL_TEXT(it.status, ask(it.what, replies_then_ok), it.name);
+  }
+}
+
+// What a leader has read is asked for again, and not held: its caller must not
+// be told that it was not taken.
+TEST(entry_gateway, submission_that_may_have_run_is_not_held) {
+  context.settings.hold_without_leader = true;
+  LONGS_EQUAL(fleet::fleet_unknown,
+              ask(asked::submit, {reply::silent, reply::unavailable}));
+}
+
+TEST(entry_gateway, held_submission_is_answered_before_the_box_ends) {
+  context.settings.hold_without_leader = true;
+  replies = {reply::unavailable};
+  tries = 0;
+  CHECK_TRUE(eventually([this] { return gateway().ready(); }));
+  std::optional<fleet::fleet_status> status;
+  gateway().ask(request_of(asked::submit), milliseconds(60'000),
+                [&](const fleet::fleet_response& it) { status = it.status(); });
+  CHECK_TRUE(eventually([this] { return tries >= 8; }));
+  CHECK_FALSE(status.has_value());
+  context.answers_due = context.clock.now() + milliseconds(600);
+  CHECK_TRUE(eventually([&] { return status.has_value(); }));
+  LONGS_EQUAL(fleet::fleet_unavailable, *status);
+  CHECK_TRUE(context.clock.now() < context.answers_due);
+}
