Admission and the order in overload at the leader

Load: more work arrives than ends. All jobs were accepted, and the earliest deadline made many late by little.

Admission rejects what would end, even by optimistic estimates, when it is of no use to its caller (three times its objective), or what asks for processors for good that accepted jobs already claim. Callers get turns: Retry-After is when the work ahead and that of callers rejected before is done.

In overload jobs_to_pass_over (Moore and Hodgson, 1968) chooses who gives way, five times a second, by pool, kind and priority; one that gave way goes first from twice its objective on.

--- a/base/ids.h
+++ b/base/ids.h
@@ -53,6 +53,8 @@
 using worker_id = strong_name<struct worker_tag>;
 /// A task: `job/NAME/INDEX` or `service/NAME/DATA-CENTRE/INDEX`.
 using task_id = strong_name<struct task_tag>;
+/// A job of a seeded deployment; its caller chooses the number.
+using job_number = strong_count<struct job_number_tag>;
 /// A term of the replicated log's leadership.
 using term_number = strong_count<struct term_tag>;
 /// A position in the replicated log; the first entry has 1.
--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -50,9 +50,8 @@
       {R"(, "decisions": {})", {}},
       {R"(, "decisions": {"learn_run_times": true})", {true}},
       {R"(, "decisions": {"learn_run_times": true, "throttle_by_slack": true,
-          "admission": true, "overload_order": true,
-          "restart_stragglers": true})",
-       {true, true, true, true, true}}};
+          "admission": true, "overload_order": true})",
+       {true, true, true, true}}};
   for (const row& it : rows) {
     const auto parsed = parse_seeded_settings(
         "f", control(str_cat(R"(, "data_folder": "/d")", it.extra)));
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -55,7 +55,6 @@
   out.throttle_by_slack = it.flag("throttle_by_slack", false);
   out.admission = it.flag("admission", false);
   out.overload_order = it.flag("overload_order", false);
-  out.restart_stragglers = it.flag("restart_stragglers", false);
   it.finish();
 }
 
--- a/daemon/fleet-record-service.cc
+++ b/daemon/fleet-record-service.cc
@@ -39,8 +39,7 @@
       .with("learn-run-times", on(it.learn_run_times))
       .with("throttle-by-slack", on(it.throttle_by_slack))
       .with("admission", on(it.admission))
-      .with("overload-order", on(it.overload_order))
-      .with("restart-stragglers", on(it.restart_stragglers));
+      .with("overload-order", on(it.overload_order));
 }
 
 }  // namespace detail
--- a/fleet/backfill-slack.cc
+++ b/fleet/backfill-slack.cc
@@ -11,12 +11,6 @@
 /// How long a pool's slack is used before it is computed anew.
 constexpr milliseconds pool_slack_lifetime{250};
 
-bool has_backfill(const fleet::fleet_job_spec& job) {
-  const auto& steps = job.steps();
-  return std::any_of(steps.begin(), steps.end(),
-                     [](const auto& it) { return it.fills(); });
-}
-
 }  // namespace detail
 
 /// Least slack of the pool's backfill jobs if they share its processors in the
@@ -30,8 +24,7 @@
   std::vector<due_work> jobs;
   for (const auto& [order, number] : book_.live()) {
     const job_entry& job = *book_.find(number);
-    if (!detail::has_backfill(job.spec) || book_.queue_of(job).pool() != pool)
-      continue;
+    if (!has_backfill(job.spec) || book_.queue_of(job).pool() != pool) continue;
     jobs.push_back(
         {progress_.remaining_work(number), progress_.remaining(number).high,
          tracking_of(number).accepted + progress_.objective(number)});
--- a/fleet/controller-lag.cc
+++ b/fleet/controller-lag.cc
@@ -29,6 +29,8 @@
   placement_reviewed_at_ = now;
   if (const uint64_t n = scheduler_.take_throttled_by_slack(); n > 0)
     metrics_.counter("kestrelreel_backfill_throttled_by_slack_total") += n;
+  if (const uint64_t n = scheduler_.take_passed_over(); n > 0)
+    metrics_.counter("kestrelreel_jobs_passed_over_total") += n;
   move_starved_backfill();
   reserve_capacity();
   scheduler_.report_waits();
--- a/fleet/controller-submissions.cc
+++ b/fleet/controller-submissions.cc
@@ -46,6 +46,38 @@
              });
 }
 
+uint64_t fleet_controller::live_tasks() const {
+  uint64_t tasks = 0;
+  for (const auto& [order, number] : book_.live()) {
+    for (const auto& steps : book_.find(number)->times) {
+      for (const step_entry& it : steps) tasks += it.tasks.size() - it.done;
+    }
+  }
+  return tasks;
+}
+
+/// Refuses a job for which there is no memory, or none of use to its caller.
+bool fleet_controller::refuse_if_overloaded(const fleet::job_call& call,
+                                            const fleet::queue_route& queue,
+                                            const respond_function& respond) {
+  const job_number job(call.job());
+  milliseconds retry_after = settings_.retry_after;
+  const uint64_t tasks = live_tasks();
+  if (tasks > settings_.max_live_tasks) {
+    log_event(detail::service_name, log_level::warn, "job-refused")
+        .with("job", to_text(job))
+        .with("tasks-waiting", tasks);
+  } else {
+    const admission_decision it = review_admission(job, call.submit(), queue);
+    if (it.admitted) return false;
+    retry_after = it.retry_after;
+  }
+  auto response = make_response(fleet::fleet_refused, "overload");
+  response.set_retry_after_ms(static_cast<uint64_t>(retry_after.count()));
+  respond(std::move(response));
+  return true;
+}
+
 void fleet_controller::on_submit(const fleet::job_call& call,
                                  const fleet::queue_route& queue,
                                  const respond_function& respond) {
@@ -62,21 +94,7 @@
     return respond(
         make_response(fleet::fleet_invalid, std::string(validity.message())));
   }
-  uint64_t tasks = 0;
-  for (const auto& [order, number] : book_.live()) {
-    for (const auto& steps : book_.find(number)->times) {
-      for (const step_entry& it : steps) tasks += it.tasks.size() - it.done;
-    }
-  }
-  if (tasks > settings_.max_live_tasks) {
-    log_event(detail::service_name, log_level::warn, "job-refused")
-        .with("job", to_text(job_number(call.job())))
-        .with("tasks-waiting", tasks);
-    auto response = make_response(fleet::fleet_refused, "overload");
-    response.set_retry_after_ms(
-        static_cast<uint64_t>(settings_.retry_after.count()));
-    return respond(std::move(response));
-  }
+  if (refuse_if_overloaded(call, queue, respond)) return;
   fleet::fleet_command command;
   *command.mutable_submit() = call.submit();
   command.mutable_submit()->set_job(call.job());
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -340,6 +340,7 @@
   crash_times_.clear();
   recorded_progress_.clear();
   scheduler_.progress().clear();
+  admission_.clear();
   if (!leads_) return;
   led_term_ = log_.term();
   // Tokens of an earlier leadership of this box must never match.
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -20,6 +20,7 @@
 #include "fleet/scheduler.h"
 #include "fleet/worker-table.h"
 #include "kernel/metrics.h"
+#include "scheduling/admission.h"
 #include "scheduling/settings.h"
 
 namespace kestrelreel {
@@ -148,6 +149,15 @@
                  const respond_function& respond);
   void commit_submission(fleet::fleet_command command,
                          const respond_function& respond);
+  bool refuse_if_overloaded(const fleet::job_call& call,
+                            const fleet::queue_route& queue,
+                            const respond_function& respond);
+  uint64_t live_tasks() const;
+  // Admission: controller-admission.cc.
+  bool knows_capacity() const;
+  admission_decision review_admission(job_number job,
+                                      const fleet::fleet_job_spec& spec,
+                                      const fleet::queue_route& queue);
   bool is_known_submission(const fleet::job_call& call) const;
   bool join_pending_submission(job_number job, const respond_function& respond);
   // Evacuations: controller-evacuations.cc.
@@ -321,6 +331,7 @@
   job_book book_;
   worker_table workers_;
   fleet_scheduler scheduler_;
+  admission_control admission_;
   bool leads_ = false;
   // The term of the current or the most recent leadership of this box.
   term_number led_term_;
--- a/fleet/job-order.cc
+++ b/fleet/job-order.cc
@@ -6,23 +6,25 @@
 namespace kestrelreel {
 namespace detail {
 
-/// Up to this multiple of its objective a late job still has a worth (the
-/// users' rules, "Credit").
-constexpr int64_t late_factor = 3;
-
 bool is_done(const job_entry& job, size_t step) {
   if (job.times.empty()) return false;
   const step_entry& it = job.times.front()[step];
   return it.done >= it.tasks.size();
 }
 
+}  // namespace detail
+
 bool is_long_running(const job_entry& job) {
   const auto& steps = job.spec.steps();
   return std::any_of(steps.begin(), steps.end(),
                      [](const auto& it) { return it.long_running(); });
 }
 
-}  // namespace detail
+bool has_backfill(const fleet::fleet_job_spec& job) {
+  const auto& steps = job.steps();
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const auto& it) { return it.fills(); });
+}
 
 const char* to_string(job_standing standing) {
   switch (standing) {
@@ -32,6 +34,8 @@
       return "in-time";
     case job_standing::long_running:
       return "lasting";
+    case job_standing::passed_over:
+      return "passed-over";
     case job_standing::late:
       return "late";
     case job_standing::overdue:
@@ -55,13 +59,17 @@
   return milliseconds(static_cast<int64_t>(longest));
 }
 
-milliseconds objective_of(const job_entry& job,
-                          const fleet::queue_route& queue) {
-  const auto chain = static_cast<double>(critical_path_time(job, true).count());
+milliseconds objective_of(const fleet::queue_route& queue, milliseconds path) {
+  const auto chain = static_cast<double>(path.count());
   return milliseconds(static_cast<int64_t>(queue.stretch() * chain)) +
          milliseconds(static_cast<int64_t>(queue.objective_ms()));
 }
 
+milliseconds objective_of(const job_entry& job,
+                          const fleet::queue_route& queue) {
+  return objective_of(queue, critical_path_time(job, true));
+}
+
 bool is_interrupted(const task_entry& task) {
   return task.phase == task_phase::waiting && task.run.value() > 0;
 }
@@ -92,9 +100,9 @@
   job_order order;
   order.priority = queue.priority();
   order.deadline = accepted + objective;
-  if (detail::is_long_running(job)) {
+  if (is_long_running(job)) {
     order.standing = job_standing::long_running;
-  } else if (end > accepted + detail::late_factor * objective) {
+  } else if (end > accepted + late_factor * objective) {
     order.standing = job_standing::overdue;
   } else if (end > order.deadline) {
     order.standing = job_standing::late;
--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -9,6 +9,10 @@
 
 namespace kestrelreel {
 
+/// Up to this multiple of its objective a late job still has a worth (the
+/// users' rules, "Credit").
+constexpr int64_t late_factor = 3;
+
 /// State of a pending job relative to its objective, in scheduling order. A job
 /// that has missed its objective is worth little however soon it ends, so it
 /// must not make others miss theirs.
@@ -19,6 +23,8 @@
   in_time,
   /// Long-running: the cost of a delay is proportional to its length.
   long_running,
+  /// Could end within its objective, but only if more others did not.
+  passed_over,
   /// Can still end within `late_factor` times its objective.
   late,
   /// Too late to be worth anything; a further delay costs nothing.
@@ -44,10 +50,16 @@
 /// steps with `whole`, by the state of the first repetition.
 milliseconds critical_path_time(const job_entry& job, bool whole);
 
-/// Time from acceptance within which the job should end.
+/// Time from acceptance within which a job with this critical path should end.
+milliseconds objective_of(const fleet::queue_route& queue, milliseconds path);
+/// The same by declared times.
 milliseconds objective_of(const job_entry& job,
                           const fleet::queue_route& queue);
 
+/// True if a step of the job is long-running.
+bool is_long_running(const job_entry& job);
+/// True if a step of the job is backfill.
+bool has_backfill(const fleet::fleet_job_spec& job);
 /// True for a pending task that has started before.
 bool is_interrupted(const task_entry& task);
 /// True if the job has an interrupted task.
--- a/fleet/job-progress.cc
+++ b/fleet/job-progress.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fleet/job-order.h"
+
 namespace kestrelreel {
 namespace detail {
 
@@ -75,9 +77,14 @@
 
 time_estimate job_progress::run_time(const job_entry& job,
                                      uint32_t step) const {
-  const milliseconds declared(static_cast<int64_t>(
-      job.spec.steps(static_cast<int>(step)).estimate_ms()));
-  const task_kind kind{book_.queue_of(job).name(), step};
+  const uint64_t declared =
+      job.spec.steps(static_cast<int>(step)).estimate_ms();
+  return run_time({book_.queue_of(job).name(), step},
+                  milliseconds(static_cast<int64_t>(declared)));
+}
+
+time_estimate job_progress::run_time(const task_kind& kind,
+                                     milliseconds declared) const {
   return learn_ ? learned_.run_time(kind, declared)
                 : declared_.run_time(kind, declared);
 }
@@ -139,10 +146,28 @@
 milliseconds job_progress::objective(job_number number) {
   const job_entry* job = book_.find(number);
   if (job == nullptr) return milliseconds(0);
-  const fleet::queue_route& queue = book_.queue_of(*job);
-  const auto whole = static_cast<double>(work_of(number).whole.count());
-  return milliseconds(static_cast<int64_t>(queue.stretch() * whole)) +
-         milliseconds(static_cast<int64_t>(queue.objective_ms()));
+  return objective_of(book_.queue_of(*job), work_of(number).whole);
+}
+
+job_progress::new_work job_progress::work_of_new(
+    const fleet::fleet_job_spec& spec, const fleet::queue_route& queue) const {
+  new_work out;
+  std::vector<step_work> steps;
+  for (int i = 0; i < spec.steps_size(); ++i) {
+    const fleet::step_spec& it = spec.steps(i);
+    step_work& step = steps.emplace_back();
+    step.depends_on.assign(it.depends_on().begin(), it.depends_on().end());
+    if (it.long_running()) continue;
+    step.remaining =
+        run_time({queue.name(), static_cast<uint32_t>(i)},
+                 milliseconds(static_cast<int64_t>(it.estimate_ms())));
+    out.core_seconds += static_cast<double>(step.remaining.expected.count()) *
+                        static_cast<double>(it.cpu_milli()) * it.count() /
+                        detail::core_ms;
+  }
+  out.path = critical_path(steps).expected;
+  out.objective = objective_of(queue, out.path);
+  return out;
 }
 
 time_estimate job_progress::remaining(job_number job) {
--- a/fleet/job-progress.h
+++ b/fleet/job-progress.h
@@ -30,6 +30,14 @@
   /// Drops all that was learned.
   void clear();
 
+  /// Whole work of a job that is not in the book yet.
+  struct new_work {
+    milliseconds path{0};
+    milliseconds objective{0};
+    double core_seconds = 0;
+  };
+  new_work work_of_new(const fleet::fleet_job_spec& spec,
+                       const fleet::queue_route& queue) const;
   /// Time that the job still needs if no task waits for capacity. Recomputed a
   /// few times a second.
   time_estimate remaining(job_number job);
@@ -56,6 +64,7 @@
     double core_seconds = 0;
   };
   const job_work& work_of(job_number number);
+  time_estimate run_time(const task_kind& kind, milliseconds declared) const;
   time_estimate remaining_of(const job_entry& job, const task_key& task) const;
   step_work step_work_of(const job_entry& job, job_number number, uint32_t step,
                          double& core_seconds) const;
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -126,10 +126,16 @@
   return it->second;
 }
 
-job_order fleet_scheduler::current_job_order(job_tracking& tracking,
+job_order fleet_scheduler::current_job_order(job_number number,
                                              const job_entry& job) {
+  job_tracking& tracking = tracking_of(number);
   const time_point now = clock_.now();
   job_order order = order_of(job, book_.queue_of(job), tracking.accepted, now);
+  if (order.standing == job_standing::in_time && tracking.passed_over)
+    order.standing = job_standing::passed_over;
+  if (order.standing == job_standing::late &&
+      was_passed_over_for_long(tracking, number))
+    order.standing = job_standing::in_time;
   if (order.standing != job_standing::long_running) return order;
   if (!tracking.pending_since) tracking.pending_since = now;
   if (now - *tracking.pending_since < settings_.long_running_first_after)
@@ -183,12 +189,12 @@
 
 std::vector<fleet_scheduler::waiting_job> fleet_scheduler::waiting_jobs() {
   std::vector<waiting_job> jobs;
+  if (settings_.decisions.overload_order) review_overload();
   for (const auto& [order, number] : book_.live()) {
     const job_entry& job = *book_.find(number);
     if (!has_tasks_to_place(number, job)) continue;
-    job_tracking& tracking = tracking_of(number);
-    jobs.push_back(
-        {current_job_order(tracking, job), number, &job, is_starved(tracking)});
+    jobs.push_back({current_job_order(number, job), number, &job,
+                    is_starved(tracking_of(number))});
   }
   std::stable_sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
     return a.order < b.order;
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -64,6 +64,12 @@
   /// Processors of the pool's usable workers that short jobs can use; with
   /// `backfill`, those that backfill tasks can expect to find unused.
   double usable_cores(const std::string& pool, bool backfill);
+  /// Work in core-seconds of the pool's live jobs of this priority or a more
+  /// urgent one that can still be of use to their callers, either of its
+  /// backfill jobs or of its other ones.
+  double work_ahead(const std::string& pool, bool backfill, uint32_t priority);
+  /// Processors of the pool that no live long-running job asks for.
+  double unclaimed_cores(const std::string& pool);
   /// Number of evaluations of a worker for a step since the last call.
   uint64_t take_worker_evaluations() { return std::exchange(evaluations_, 0); }
 
@@ -71,6 +77,8 @@
   uint64_t take_throttled_by_slack() {
     return std::exchange(throttled_by_slack_, 0);
   }
+  /// Number of jobs that came to be passed over since the last call.
+  uint64_t take_passed_over() { return std::exchange(passed_over_, 0); }
   /// Progress of live jobs, which the controller feeds.
   job_progress& progress() { return progress_; }
   /// True if a start of the task is proposed but not yet in the book.
@@ -127,6 +135,9 @@
     std::optional<time_point> pending_since;
     // Since when the job has pending tasks but none that runs.
     std::optional<time_point> idle_since;
+    // In overload: the job gives way to others now, and since when at first.
+    bool passed_over = false;
+    std::optional<time_point> passed_over_since;
     // The job's work has been added to the short demand.
     bool demand_recorded = false;
   };
@@ -142,6 +153,12 @@
   std::vector<waiting_job> waiting_jobs();
   job_tracking& tracking_of(job_number number);
   bool has_tasks_to_place(job_number number, const job_entry& job);
+  // Order in overload: overload.cc.
+  void review_overload();
+  void pass_over(job_number number, bool passed);
+  static bool may_be_passed_over(const job_entry& job);
+  bool was_passed_over_for_long(const job_tracking& tracking,
+                                job_number number);
   std::vector<worker_view*> candidates();
   std::vector<worker_view*> plan_candidates();
   std::vector<worker_view*> open_candidates();
@@ -191,7 +208,7 @@
   std::optional<double> score_if_allowed(const pending_step& step,
                                          const worker_view& it) const;
   bool is_starved(const job_tracking& tracking) const;
-  job_order current_job_order(job_tracking& tracking, const job_entry& job);
+  job_order current_job_order(job_number number, const job_entry& job);
   bool retry_is_due(const task_key& step) const;
   std::vector<worker_view*> take_freed_workers();
   void count_evaluations(uint64_t n);
@@ -326,6 +343,8 @@
   uint64_t last_move_ordinal_ = 0;
   uint64_t evaluations_ = 0;
   uint64_t throttled_by_slack_ = 0;
+  uint64_t passed_over_ = 0;
+  time_point overload_reviewed_at_{};
 };
 
 /// True if the worker's heartbeat lists the label.
--- a/fleet/task-key.h
+++ b/fleet/task-key.h
@@ -12,8 +12,6 @@
 
 namespace kestrelreel {
 
-/// The identity of a job, chosen by the caller.
-using job_number = strong_count<struct job_number_tag>;
 /// Number of a start of a task; the first is 1.
 using run_number = strong_count<struct run_number_tag>;
 
--- a/scheduling/admission.h
+++ b/scheduling/admission.h
@@ -2,37 +2,39 @@
 // load that exceeds the capacity for longer than jobs can wait.
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
+#include <deque>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "base/clock.h"
-#include "scheduling/run-times.h"
+#include "base/ids.h"
 
 namespace kestrelreel {
 
 /// A job at its submission.
 struct job_demand {
+  job_number job;
   /// Processor time of all its tasks, in core-seconds, a lower estimate.
   double work = 0;
-  /// Time that it takes on idle workers.
-  time_estimate path;
-  /// From its acceptance: an end after this time is of no use to the caller.
+  /// Time that it takes on idle workers, a lower estimate.
+  milliseconds path{0};
+  /// Times from its acceptance: by when it should end, and after which an end
+  /// is of no use to the caller.
+  milliseconds objective{0};
   milliseconds useful_for{0};
-  /// Processors that it holds for good, if it is long-running.
+  /// Processors that it holds for good; 0 for a job that ends.
   double lasting_cores = 0;
 };
 
 /// Capacity and queue of a pool as the job finds them.
 struct pool_backlog {
-  /// Processors that jobs of this kind can use.
+  /// Processors that jobs of this kind can use; 0 if unknown.
   double cores = 0;
   /// Work of live jobs that go before the job, in core-seconds, a lower
   /// estimate.
   double work_ahead = 0;
-  /// Processors that no long-running task holds or waits for, and that short
-  /// jobs do not need.
+  /// Processors of the pool that no accepted long-running job asks for.
   double lasting_cores_free = 0;
 };
 
@@ -48,27 +50,31 @@
 };
 
 /// Rejects jobs that would end too late even by optimistic estimates. Rejected
-/// callers get turns: each is told to return when the work ahead of it,
-/// including that of callers rejected before it, is done. Not thread-safe.
+/// callers get turns: each is told to return when the work ahead of it, that of
+/// callers rejected before it included, is done. A caller in its turn goes
+/// before one that comes anew. Not thread-safe.
 class admission_control {
  public:
-  /// `pool` names the queue of turns. Accepts everything while `cores` is 0:
-  /// the capacity is not known yet.
+  /// Accepts everything while the capacity is unknown.
   admission_decision decide(const std::string& pool, const job_demand& job,
                             const pool_backlog& backlog, time_point now);
-  /// Number of rejected callers whose turn is still to come.
-  size_t turns(const std::string& pool, time_point now) const;
+  /// Number of rejected callers that are still expected to return.
+  size_t expected_callers(const std::string& pool, time_point now);
   void clear() { turns_.clear(); }
 
  private:
-  /// Core-seconds promised to rejected callers, which return as they are
-  /// worked off.
-  struct promised_work {
+  /// A rejected caller and when it was told to return.
+  struct turn {
+    job_number job;
     double work = 0;
-    size_t callers = 0;
-    time_point at{};
+    time_point due{};
   };
-  std::map<std::string, promised_work> turns_;
+  using turns = std::deque<turn>;
+  /// Drops the callers that did not return in time.
+  turns& current_turns(const std::string& pool, time_point now);
+  static double work_promised(const turns& all, job_number before);
+
+  std::map<std::string, turns> turns_;
 };
 
 }  // namespace kestrelreel
--- a/scheduling/job-slack.cc
+++ b/scheduling/job-slack.cc
@@ -2,20 +2,12 @@
 
 #include <algorithm>
 
+#include "scheduling/work-time.h"
+
 namespace kestrelreel {
 namespace detail {
 
 constexpr int64_t full_percent = 100;
-constexpr double ms_per_s = 1'000;
-/// Longer times are as good as never.
-constexpr double max_time_ms = 1e9;
-
-/// Time in which the processors do the work.
-milliseconds time_for(double core_seconds, double cores) {
-  if (core_seconds <= 0) return milliseconds(0);
-  const double ms = cores > 0 ? core_seconds / cores * ms_per_s : max_time_ms;
-  return milliseconds(static_cast<int64_t>(std::min(ms, max_time_ms)));
-}
 
 }  // namespace detail
 
@@ -75,7 +67,7 @@
   double work = 0;
   for (const due_work& it : jobs) {
     work += it.core_seconds;
-    const milliseconds shared = detail::time_for(work, cores);
+    const milliseconds shared = time_for(work, cores);
     least = std::min(least, it.deadline - now - std::max(it.path, shared));
   }
   return least;
--- a/scheduling/settings.h
+++ b/scheduling/settings.h
@@ -15,8 +15,6 @@
   bool admission = false;
   /// In overload, serve as many jobs in time as possible.
   bool overload_order = false;
-  /// Restart tasks that lag, and prefer fast workers.
-  bool restart_stragglers = false;
 
   bool operator==(const load_decisions&) const = default;
 };
--- a/support/emulator/main.cc
+++ b/support/emulator/main.cc
@@ -38,8 +38,7 @@
       {"learn_run_times", &load_decisions::learn_run_times},
       {"throttle_by_slack", &load_decisions::throttle_by_slack},
       {"admission", &load_decisions::admission},
-      {"overload_order", &load_decisions::overload_order},
-      {"restart_stragglers", &load_decisions::restart_stragglers}};
+      {"overload_order", &load_decisions::overload_order}};
   std::istringstream in(names);
   for (std::string name; std::getline(in, name, ',');) {
     const auto found = all.find(name);
