Held submissions: through relays, with a pause, and only where a leader may come

Fault: a box that reaches the leader only through a relay never sent what it held. A target that says unavailable was sent, refused and sent again without a pause. What could not be served in time was held all the same, and the memory was bounded in number alone.

Change: held ones go to any target. After a change of the target one goes alone, the others once it was answered; after `unavailable` there is a pause of 250 ms. Nothing is held where no leader was ever in reach, none for 3 s, or the leader has no configuration; nothing for longer than 3 s; what would have its turn too late is answered at once. 8 MiB at most. Reasons no-leader-in-time, too-many-held, box-ends. Each held submission is logged and counted once, and each release with its tries and how long it waited.

--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -1,6 +1,8 @@
 // Settings of a seeded deployment.
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+
 #include "base/text.h"
 #include "config/seeded-settings.h"
 
@@ -16,6 +18,13 @@
          extra + "}";
 }
 
+std::string entry(const std::string& extra) {
+  return R"({"box": "10.1.0.17", "data_centre": "kumluca", "role": "entry",
+    "listen": {"callers": "10.1.0.17:8080", "readiness": "10.1.0.17:8081"},
+    "peer_port": 7720, "seeds": ["10.1.0.16:8166"])" +
+         extra + "}";
+}
+
 }  // namespace
 
 TEST_GROUP(seeded_settings){};
@@ -61,6 +70,28 @@
   }
 }
 
+TEST(seeded_settings, entry_box_holds_submissions_only_when_told) {
+  struct row {
+    const char* extra;
+    std::optional<bool> holds;
+  };
+  const row rows[] = {
+      {"", false},
+      {R"(, "decisions": {})", false},
+      {R"(, "decisions": {"hold_without_leader": false})", false},
+      {R"(, "decisions": {"hold_without_leader": true})", true},
+      {R"(, "decisions": {"hold_without_leader": "yes"})", std::nullopt},
+      {R"(, "decisions": {"hold_without_leader": 1})", std::nullopt},
+      {R"(, "decisions": {"admission": true})", std::nullopt}};
+  for (const row& it : rows) {
+    const auto parsed = parse_seeded_settings("f", entry(it.extra));
+    const auto* settings = std::get_if<seeded_settings>(&parsed);
+    CHECK_EQUAL_TEXT(it.holds.has_value(), settings != nullptr, it.extra);
+    if (settings)
+      CHECK_EQUAL_TEXT(*it.holds, settings->hold_without_leader, it.extra);
+  }
+}
+
 TEST(seeded_settings, unknown_decision_is_a_fault) {
   for (const char* it : {R"(, "decisions": {"hold_without_leader": true})",
                          R"(, "decisions": {"admission": "yes"})"}) {
--- a/daemon/ask-again.h
+++ b/daemon/ask-again.h
@@ -47,8 +47,9 @@
   }
 }
 
-/// How long a request may wait for a leader: below a quarter of the shortest
-/// objective that the users name (1,000 ms).
+/// How long a request is asked for by itself while there is no leader: below a
+/// quarter of the shortest objective that the users name (1,000 ms). A
+/// submission may be held beyond it (daemon/submission-hold.h).
 constexpr milliseconds leader_patience{200};
 /// The pause before the next try.
 constexpr milliseconds ask_pause{50};
--- a/daemon/entry-gateway-question.h
+++ b/daemon/entry-gateway-question.h
@@ -17,6 +17,9 @@
   time_point asked{};
   time_point deadline{};
   bool may_have_run = false;
+  /// It waited, or was sent, among those held while there is no leader.
+  bool held = false;
+  bool released = false;
   milliseconds connecting{0};
   unsigned tries = 0;
   unsigned unanswered = 0;
--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -56,6 +56,8 @@
   if (!frame.has_hello()) return;
   finder_.heard(from, frame.hello(), context_.clock.now());
   const bool told = frame.hello().config_version() > 0;
+  // One that does not decide may lack only what it did not hear of yet.
+  if (told || frame.hello().decides()) configured_ = told;
   if (told && on_bounds_) on_bounds_(frame.hello().bounds());
   tick();
   serve_held();
@@ -68,17 +70,23 @@
     frame.mutable_hello()->set_asks(true);
     mesh_->send(it, std::move(frame));
   }
+  note_target(now);
+}
+
+box_id entry_gateway_service::note_target(time_point now) {
   const box_id target = finder_.target(now);
   if (!target.empty()) {
     in_reach_at_ = now;
     was_in_reach_ = true;
   }
-  if (target == last_target_) return;
+  if (target == last_target_) return target;
   log_event(detail::gateway_name, log_level::info, "target-changed")
       .with("from", last_target_.str())
       .with("to", target.str())
       .with("decides", finder_.target_decides(now) ? "yes" : "no");
   last_target_ = target;
+  hold_.target_changed();
+  return target;
 }
 
 bool entry_gateway_service::ready() const {
@@ -121,9 +129,15 @@
     none.set_reason("no-leader-in-reach");
     return try_later(it, std::move(none));
   }
+  ask_target(it, target, now);
+}
+
+void entry_gateway_service::ask_target(const std::shared_ptr<question>& it,
+                                       const box_id& target, time_point now) {
   ++it->tries;
   it->last_asked = target;
-  mesh_->call(target, it->request, false, std::min(left, detail::answer_limit),
+  mesh_->call(target, it->request, false,
+              std::min(time_left(*it), detail::answer_limit),
               [this, it, target, now](fleet::fleet_response response) {
                 note_outcome(*it, target, response.status(), now);
                 const request_kind kind = detail::kind_of(it->request);
@@ -151,6 +165,7 @@
   } else {
     finder_.answered(target, now);
   }
+  note_for_held(it, target, status);
 }
 
 /// A caller that is told "not taken" can be followed to the try that said so.
--- a/daemon/entry-gateway-service.h
+++ b/daemon/entry-gateway-service.h
@@ -28,6 +28,7 @@
   }
   absl::Status start(service_registry& registry) override;
   void stop() override {
+    stopped_ = true;
     tick_timer_.stop();
     hold_timer_.cancel();
   }
@@ -49,20 +50,28 @@
   struct question;
   milliseconds time_left(const question& it) const;
   void try_now(const std::shared_ptr<question>& it);
+  void ask_target(const std::shared_ptr<question>& it, const box_id& target,
+                  time_point now);
   void try_later(const std::shared_ptr<question>& it,
                  fleet::fleet_response last);
   void give_up(const question& it, fleet::fleet_response last);
   bool may_hold(const question& it, const fleet::fleet_response& last) const;
+  time_point held_until(const question& it) const;
   void hold(const std::shared_ptr<question>& it);
   void serve_held();
+  void end_overdue();
+  void release_held();
+  void note_for_held(const question& it, const box_id& target,
+                     fleet::fleet_status status);
   std::shared_ptr<question> take_held(submission_id id);
-  void end_held(submission_id id);
+  void end_held(submission_id id, hold_end cause);
   void note_outcome(question& it, const box_id& target,
                     fleet::fleet_status status, time_point since);
   void note_refusal(const question& it,
                     const fleet::fleet_response& last) const;
   void on_message(const box_id& from, const fleet::fleet_frame& frame);
   void tick();
+  box_id note_target(time_point now);
 
   seeded_context& context_;
   peer_mesh* mesh_ = nullptr;
@@ -70,6 +79,9 @@
   time_point in_reach_at_{};
   bool was_in_reach_ = false;
   box_id last_target_;
+  /// The leader, or who named it, last told of a configuration.
+  bool configured_ = false;
+  bool stopped_ = false;
   std::function<void(const fleet::request_bounds&)> on_bounds_;
   repeating_timer tick_timer_;
   submission_hold hold_;
--- a/daemon/leader-test-parts.h
+++ b/daemon/leader-test-parts.h
@@ -5,15 +5,28 @@
 
 namespace kestrelreel {
 
-/// Answers each message with a greeting: `box` leads and decides.
-inline auto greet_as_leader(const char* box) {
-  return [box](const auto&, const auto&, const auto& stream) {
+/// Says that `box` leads and decides.
+inline fleet::box_hello hello_of_leader(const char* box) {
+  fleet::box_hello out;
+  out.set_leader(box);
+  out.set_decides(true);
+  return out;
+}
+
+/// Answers each message with what `hello()` says then.
+template <typename Hello>
+auto greet_with(const char* box, const Hello& hello) {
+  return [box, hello](const auto&, const auto&, const auto& stream) {
     fleet::fleet_frame frame;
     frame.set_from(box);
-    frame.mutable_hello()->set_leader(box);
-    frame.mutable_hello()->set_decides(true);
+    *frame.mutable_hello() = hello();
     stream->send(frame);
   };
 }
 
+/// Answers each message with a greeting: `box` leads and decides.
+inline auto greet_as_leader(const char* box) {
+  return greet_with(box, [box] { return hello_of_leader(box); });
+}
+
 }  // namespace kestrelreel
