Test why nothing is held without a leader to expect

Without the check for a configuration the row passed: what was held was answered at once all the same, by another reason. The rows now check the reason.

--- a/daemon/entry-gateway-hold-test.cc
+++ b/daemon/entry-gateway-hold-test.cc
@@ -186,14 +186,17 @@
     bool configured;
     milliseconds away;
     uint64_t held;
+    const char* reason;
   };
   const milliseconds too_long =
       hold_limits().longest_absence + milliseconds(500);
   const row rows[] = {
-      {"away for a moment", true, true, milliseconds(0), 1},
-      {"away for long", true, true, too_long, 0},
-      {"never heard of one", false, true, milliseconds(0), 0},
-      {"without a configuration", true, false, milliseconds(0), 0}};
+      {"away for a moment", true, true, milliseconds(0), 1,
+       "no-leader-in-time"},
+      {"away for long", true, true, too_long, 0, "no-leader-in-reach"},
+      {"never heard of one", false, true, milliseconds(0), 0,
+       "no-leader-in-reach"},
+      {"without a configuration", true, false, milliseconds(0), 0, ""}};
   for (const row& it : rows) {
     gateway_world world;
     world.begin();
@@ -209,6 +212,7 @@
     LONGS_EQUAL_TEXT(fleet::fleet_unavailable, world.answers[0].status(),
                      it.name);
     LONGS_EQUAL_TEXT(it.held, world.held(), it.name);
+    STRCMP_EQUAL_TEXT(it.reason, world.answers[0].reason().c_str(), it.name);
   }
 }
 
