Admission: promises block nobody, and estimates are lower ones

Load: more arrives than ends, and refused callers go elsewhere.

Cause: all promises to refused callers counted against each newcomer, so that refusals caused refusals and callers that never returned blocked an idle pool; a caller that was refused again lost its place. Work that is late, passed over or due later counted as work ahead. A cut of seconds refused long-running jobs, a pool whose processors are all held passed for unknown, a leader that stalled judged by the few workers that it had heard, and short tasks that end within a second were taken from the capacity of backfill.

Change: a newcomer waits only for turns that are due before it would end by the backlog alone; all turns count for the time that it is told. No turn beyond the longest retry time; a repeated refusal keeps its place; a cancel drops it. Turns hold for jobs of their kind and of no more urgent priority. Work ahead follows the scheduler's order and is read ten times a second, with what was accepted and is not in the book yet. Long-running jobs are measured against all known workers that are not leaving, and return after their objective. Unknown capacity is a flag. The reply's reason is the cause, and refusals for want of memory are counted.

Runs: scheduling 31, hard-load 24, fleet 95, job-progress 9, load-replay 8, late-copy 7 and refused-job 5 tests pass.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -160,6 +160,10 @@
   return n;
 }
 
+bool fleet_controller::is_held_up() const {
+  return clock_.now() - ticked_at_ > detail::held_up_after;
+}
+
 /// A leader that stalled, or reads heartbeats late, has unread heartbeats
 /// waiting, with ends in them. It processes these before it declares anything
 /// lost, and waits longer until the backlog is read: otherwise it would declare
@@ -167,7 +171,7 @@
 /// catches up declares losses all the same.
 void fleet_controller::review_read_delay() {
   const time_point now = clock_.now();
-  const bool held_up = now - ticked_at_ > detail::held_up_after;
+  const bool held_up = is_held_up();
   const bool reads_late =
       late_heartbeats_since_tick_ >= detail::min_late_heartbeats &&
       late_heartbeats_since_tick_ * detail::late_share_divisor >
--- a/fleet/controller-submissions.cc
+++ b/fleet/controller-submissions.cc
@@ -42,6 +42,8 @@
       commit(std::move(command),
              [this, job, respond](const fleet::fleet_response& response) {
                pending_submissions_.erase(job);
+               if (response.status() != fleet::fleet_ok)
+                 scheduler_.drop_admitted(job);
                respond(response);
              });
 }
@@ -62,17 +64,21 @@
                                             const respond_function& respond) {
   const job_number job(call.job());
   milliseconds retry_after = settings_.retry_after;
+  const char* reason = "overload";
   const uint64_t tasks = live_tasks();
   if (tasks > settings_.max_live_tasks) {
+    ++metrics_.counter("kestrelreel_jobs_refused_total", {{"cause", "memory"}});
     log_event(detail::service_name, log_level::warn, "job-refused")
         .with("job", to_text(job))
+        .with("cause", "memory")
         .with("tasks-waiting", tasks);
   } else {
     const admission_decision it = review_admission(job, call.submit(), queue);
     if (it.admitted) return false;
     retry_after = it.retry_after;
+    reason = it.cause;
   }
-  auto response = make_response(fleet::fleet_refused, "overload");
+  auto response = make_response(fleet::fleet_refused, reason);
   response.set_retry_after_ms(static_cast<uint64_t>(retry_after.count()));
   respond(std::move(response));
   return true;
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -129,6 +129,7 @@
   if (job != nullptr && job->queue.name() != queue.name()) {
     return respond(make_response(fleet::fleet_no_job, "no-such-job"));
   }
+  admission_.forget(number);
   if (job != nullptr && !job->live()) {
     return respond(make_response(fleet::fleet_ok));
   }
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -155,6 +155,9 @@
   uint64_t live_tasks() const;
   // Admission: controller-admission.cc.
   bool knows_capacity() const;
+  void log_refusal(const job_demand& demand, const pool_backlog& backlog,
+                   const fleet::queue_route& queue,
+                   const admission_decision& decision);
   admission_decision review_admission(job_number job,
                                       const fleet::fleet_job_spec& spec,
                                       const fleet::queue_route& queue);
@@ -314,6 +317,8 @@
   void review_leaves();
   void log_survivor(const worker_view& it, const worker_view& next) const;
   void review_restarts();
+  /// True if the last tick is so long ago that the process has stalled.
+  bool is_held_up() const;
   void review_read_delay();
   bool defers_losses() const;
   milliseconds loss_grace() const;
--- a/fleet/overload.cc
+++ b/fleet/overload.cc
@@ -14,7 +14,6 @@
 namespace detail {
 
 constexpr const char* service_name = "scheduler";
-constexpr double milli = 1'000;
 /// How often the choice is made: short against the objectives of jobs.
 constexpr milliseconds overload_review_interval{200};
 /// A job that gave way goes first from this multiple of its objective on: an
@@ -90,35 +89,4 @@
   }
 }
 
-double fleet_scheduler::work_ahead(const std::string& pool, bool backfill,
-                                   uint32_t priority) {
-  const time_point now = clock_.now();
-  double work = 0;
-  for (const auto& [order, number] : book_.live()) {
-    const job_entry& job = *book_.find(number);
-    const fleet::queue_route& queue = book_.queue_of(job);
-    if (queue.pool() != pool || queue.priority() > priority ||
-        has_backfill(job.spec) != backfill || job.spec.times() > 0)
-      continue;
-    const time_point useful_until = tracking_of(number).accepted +
-                                    progress_.objective(number) * late_factor;
-    if (now + progress_.remaining(number).expected <= useful_until)
-      work += progress_.remaining_work(number);
-  }
-  return work;
-}
-
-double fleet_scheduler::unclaimed_cores(const std::string& pool) {
-  uint64_t claimed = 0;
-  for (const auto& [order, number] : book_.live()) {
-    const job_entry& job = *book_.find(number);
-    if (book_.queue_of(job).pool() != pool) continue;
-    for (const fleet::step_spec& it : job.spec.steps()) {
-      if (it.long_running()) claimed += it.count() * it.cpu_milli();
-    }
-  }
-  const uint64_t all = pool_use_of(pool).cpu;
-  return static_cast<double>(all - std::min(all, claimed)) / detail::milli;
-}
-
 }  // namespace kestrelreel
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -15,6 +15,7 @@
 #include "fleet/job-order.h"
 #include "fleet/job-progress.h"
 #include "fleet/load-forecast.h"
+#include "fleet/pool-load.h"
 #include "fleet/reservation-types.h"
 #include "fleet/scheduler-settings.h"
 #include "fleet/short-demand.h"
@@ -64,12 +65,21 @@
   /// Processors of the pool's usable workers that short jobs can use; with
   /// `backfill`, those that backfill tasks can expect to find unused.
   double usable_cores(const std::string& pool, bool backfill);
-  /// Work in core-seconds of the pool's live jobs of this priority or a more
-  /// urgent one that can still be of use to their callers, either of its
-  /// backfill jobs or of its other ones.
-  double work_ahead(const std::string& pool, bool backfill, uint32_t priority);
-  /// Processors of the pool that no live long-running job asks for.
+  // What a new job finds: pool-load.cc.
+  /// Processors that short jobs of the pool, or its backfill jobs, get at best:
+  /// what short tasks hold is free within a second. None without a usable
+  /// worker.
+  std::optional<double> cores_at_best(const std::string& pool, bool backfill);
+  /// Work in core-seconds that surely goes before the job on so many
+  /// processors, a lower estimate: of its kind and priority what can be in time
+  /// and is due no later, of more urgent priorities what is of use.
+  double work_ahead(const job_load& job, double cores);
+  /// Processors of the pool that no long-running job asks for. Counts workers
+  /// that are silent or avoided for the moment.
   double unclaimed_cores(const std::string& pool);
+  /// Counts an admitted job until it is in the book or dropped.
+  void add_admitted(const job_load& job);
+  void drop_admitted(job_number job) { admitted_.erase(job); }
   /// Number of evaluations of a worker for a step since the last call.
   uint64_t take_worker_evaluations() { return std::exchange(evaluations_, 0); }
 
@@ -159,6 +169,9 @@
   static bool may_be_passed_over(const job_entry& job);
   bool was_passed_over_for_long(const job_tracking& tracking,
                                 job_number number);
+  job_load load_of_job(job_number number, const job_entry& job);
+  void update_job_loads();
+  std::vector<const job_load*> current_job_loads(const std::string& pool);
   std::vector<worker_view*> candidates();
   std::vector<worker_view*> plan_candidates();
   std::vector<worker_view*> open_candidates();
@@ -311,6 +324,11 @@
     milliseconds least = milliseconds::max();
   };
   std::map<std::string, known_slack> pool_slacks_;
+  // Loads of the live jobs, for a short time, and of those admitted since that
+  // were not in the book then.
+  std::vector<job_load> job_loads_;
+  time_point job_loads_at_{};
+  std::map<job_number, job_load> admitted_;
   // Steps logged as possible only on evacuated workers.
   std::set<task_key> reported_only_evacuated_;
   // Next attempt for a step that did not fit, by first task.
