Admission's tests: late jobs alone, evacuated listeners, backfill that lasts

late_jobs_go_before_nobody passed without the check of lateness, since what the processors can do until the deadline had hidden it; its jobs are now large enough that each of the two makes a difference, and it holds both sides of the moment at which they become late.

--- a/fleet/admission-test.cc
+++ b/fleet/admission-test.cc
@@ -270,6 +270,8 @@
     request.mutable_evacuation()->set_evacuate(evacuated);
     world.ask(request);
     LONGS_EQUAL(evacuated ? 10 : 19, world.first_refused());
+    const auto status = world.submit(100, {make_listener(6)}).status();
+    CHECK_TRUE(status == (evacuated ? fleet::fleet_refused : fleet::fleet_ok));
   }
 }
 
@@ -287,9 +289,14 @@
 // A job that is late goes after one that can be in time.
 TEST(fleet_admission, late_jobs_go_before_nobody) {
   admission_world world;
-  LONGS_EQUAL(10, world.first_refused());
-  world.keep({"a"}, milliseconds(2'500));
-  CHECK_TRUE(world.accepts(11));
+  // Due within nine seconds and of use for 27.
+  fleet::step_spec step = test_world::make_step(4);
+  step.set_estimate_ms(4'000);
+  LONGS_EQUAL(7, world.first_refused(1, step));
+  world.keep({"a"}, milliseconds(5'000));
+  CHECK_TRUE(world.submit(8, {step}).status() == fleet::fleet_refused);
+  world.pass(milliseconds(100));
+  CHECK_TRUE(world.submit(9, {step}).status() == fleet::fleet_ok);
 }
 
 TEST(fleet_admission, jobs_passed_over_go_before_nobody) {
@@ -327,6 +334,10 @@
   STRCMP_EQUAL("no-capacity", refused.reason().c_str());
   LONGS_EQUAL(4'000, refused.retry_after_ms());
   LONGS_EQUAL(1, world.refusals("no-capacity"));
+  // Backfill holds no processors.
+  fleet::step_spec backfill = make_listener(2);
+  backfill.set_fills(true);
+  CHECK_TRUE(world.submit(4, {backfill}).status() == fleet::fleet_ok);
   world.cancel(1);
   CHECK_TRUE(world.submit(3, {step}).status() == fleet::fleet_ok);
 }
