Bound callers' claims in learned run times

Load: callers declare 0 or hours. A declared 0 was learned as 1 ms, one claim of 24 h as a ratio of 1e-5, and a chain of huge claims overflowed the time of its job.

Runs without a declared time are left out of the ratio and estimated by the actual times of their kind; a ratio counts as 30 either way at most; declared times are bounded by 24 h in all sources. The time that nine of ten do not exceed takes the deviations above the mean only, as false claims below it are no tail of run times.

--- a/scheduling/run-times-test.cc
+++ b/scheduling/run-times-test.cc
@@ -89,3 +89,45 @@
     CHECK_TRUE(out.high <= std::chrono::hours(24));
   }
 }
+
+// One caller's false claims spoiled the estimates of all jobs of the kind.
+TEST(run_times, false_claims_do_not_spoil_the_kind) {
+  constexpr milliseconds actual{1'000};
+  const milliseconds claims[] = {milliseconds(0), milliseconds(-1),
+                                 std::chrono::hours(24), milliseconds::max()};
+  for (const milliseconds claim : claims) {
+    for (const bool at_once : {false, true}) {
+      learned_run_times times;
+      for (int i = 0; i < 100; ++i) {
+        const bool is_false = at_once ? i >= 95 : i % 20 == 0;
+        times.observe(kind, is_false ? claim : actual, actual);
+      }
+      LONGS_EQUAL(100, times.observations(kind));
+      const time_estimate out = times.run_time(kind, actual);
+      CHECK_TRUE(out.expected >= actual / 2 && out.expected <= actual * 2);
+      CHECK_TRUE(out.high >= actual / 2 && out.high <= actual * 2);
+    }
+  }
+}
+
+TEST(run_times, undeclared_time_is_estimated_by_the_runs) {
+  for (const int64_t declared_ms : {0, -7}) {
+    learned_run_times times;
+    const milliseconds declared(declared_ms);
+    LONGS_EQUAL(0, times.run_time(kind, declared).high.count());
+    for (int i = 0; i < 200; ++i) times.observe(kind, declared, actual_of(i));
+    const time_estimate out = times.run_time(kind, declared);
+    DOUBLES_EQUAL(3'250, static_cast<double>(out.expected.count()), 150);
+    CHECK_TRUE(out.high >= milliseconds(4'500));
+    // Nothing is known of the claims of others.
+    LONGS_EQUAL(700, times.run_time(kind, milliseconds(700)).high.count());
+  }
+}
+
+TEST(run_times, declared_times_are_bounded) {
+  const declared_run_times times;
+  LONGS_EQUAL(0, times.run_time(kind, milliseconds(-1)).high.count());
+  LONGS_EQUAL(0, times.run_time(kind, milliseconds::min()).high.count());
+  LONGS_EQUAL(5, times.run_time(kind, milliseconds(5)).high.count());
+  CHECK_TRUE(times.run_time(kind, milliseconds::max()).high == max_run_time);
+}
--- a/scheduling/run-times.cc
+++ b/scheduling/run-times.cc
@@ -11,9 +11,12 @@
 /// Weight of the newest run: the moments follow the last two hundred runs, some
 /// ten jobs of a wide step, so that one job does not set them.
 constexpr double min_weight = 0.005;
-/// Bounds the claims of callers: a declared time of 0 or of days.
+/// Bounds the times that were measured.
 constexpr double min_time_ms = 1;
-constexpr double max_time_ms = 24 * 3'600'000.0;
+constexpr auto max_time_ms = static_cast<double>(max_run_time.count());
+/// Declared times are off by up to ten. A ratio further off is taken for a
+/// false claim, and counts as this factor.
+constexpr double max_ratio = 30;
 /// Quantile 0.9 of the normal distribution.
 constexpr double high_quantile = 1.2816;
 
@@ -27,38 +30,52 @@
 
 }  // namespace detail
 
+void learned_run_times::moments::observe(double value) {
+  ++observations;
+  const double weight =
+      std::max(1 / static_cast<double>(observations), detail::min_weight);
+  const double error = value - mean;
+  const double square = error * error;
+  const double upper = error > 0 ? 2 * square : 0;
+  mean += weight * error;
+  variance = (1 - weight) * (variance + weight * square);
+  upper_variance = (1 - weight) * (upper_variance + weight * upper);
+}
+
+time_estimate learned_run_times::moments::estimate(double unit_ms) const {
+  // The mean of a log-normal distribution.
+  const double expected = unit_ms * std::exp(mean + variance / 2);
+  const double high = unit_ms * std::exp(mean + detail::high_quantile *
+                                                    std::sqrt(upper_variance));
+  return {detail::to_time(expected), detail::to_time(std::max(expected, high))};
+}
+
 void learned_run_times::observe(const task_kind& kind, milliseconds declared,
                                 milliseconds actual) {
-  ratio& it = kinds_[kind];
-  ++it.observations;
-  const double weight =
-      std::max(1 / static_cast<double>(it.observations), detail::min_weight);
+  known_kind& it = kinds_[kind];
+  it.time.observe(std::log(detail::bounded(actual)));
+  if (declared <= milliseconds(0)) return;
+  const double most = std::log(detail::max_ratio);
   const double value =
       std::log(detail::bounded(actual) / detail::bounded(declared));
-  const double error = value - it.mean;
-  it.mean += weight * error;
-  it.variance = (1 - weight) * (it.variance + weight * error * error);
+  it.ratio.observe(std::clamp(value, -most, most));
 }
 
 time_estimate learned_run_times::run_time(const task_kind& kind,
                                           milliseconds declared) const {
+  const time_estimate as_declared =
+      declared_run_times().run_time(kind, declared);
   const auto found = kinds_.find(kind);
-  if (found == kinds_.end() ||
-      found->second.observations < detail::min_observations) {
-    return declared_run_times().run_time(kind, declared);
-  }
-  const ratio& it = found->second;
-  const double whole = detail::bounded(declared);
-  // The mean of a log-normal distribution.
-  const double expected = whole * std::exp(it.mean + it.variance / 2);
-  const double high = whole * std::exp(it.mean + detail::high_quantile *
-                                                     std::sqrt(it.variance));
-  return {detail::to_time(expected), detail::to_time(std::max(expected, high))};
+  if (found == kinds_.end()) return as_declared;
+  const bool has_claim = declared > milliseconds(0);
+  const moments& it = has_claim ? found->second.ratio : found->second.time;
+  if (it.observations < detail::min_observations) return as_declared;
+  return it.estimate(has_claim ? detail::bounded(declared) : 1);
 }
 
 uint64_t learned_run_times::observations(const task_kind& kind) const {
   const auto found = kinds_.find(kind);
-  return found == kinds_.end() ? 0 : found->second.observations;
+  return found == kinds_.end() ? 0 : found->second.time.observations;
 }
 
 }  // namespace kestrelreel
--- a/scheduling/run-times.h
+++ b/scheduling/run-times.h
@@ -1,6 +1,8 @@
 // Estimates of how long tasks run, for load whose declared times are wrong.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -25,26 +27,34 @@
   auto operator<=>(const time_estimate&) const = default;
 };
 
-/// Estimates the run time of a task at full pace.
+/// Bounds estimates and the claims of callers, so that the sum of a long chain
+/// of steps is a valid time.
+constexpr milliseconds max_run_time = std::chrono::hours(24);
+
+/// Estimates the run time of a task at full pace. Estimates are between 0 and
+/// `max_run_time`.
 class run_time_source {
  public:
   virtual ~run_time_source() = default;
-  /// The declared time is a caller's claim: it may be 0 or hours.
+  /// The declared time is a caller's claim: it may be 0, negative or hours.
   virtual time_estimate run_time(const task_kind& kind,
                                  milliseconds declared) const = 0;
 };
 
-/// Takes the declared times as they are.
+/// Takes the declared times, within their bounds.
 class declared_run_times final : public run_time_source {
  public:
   time_estimate run_time(const task_kind& /*kind*/,
                          milliseconds declared) const override {
-    return {declared, declared};
+    const milliseconds it = std::clamp(declared, milliseconds(0), max_run_time);
+    return {it, it};
   }
 };
 
 /// Learns from ended runs. A leader starts without observations, and estimates
-/// declared times until it has enough of a kind.
+/// declared times until it has enough of a kind. A run without a declared time
+/// is estimated by how long runs of its kind take. One run changes the ratio by
+/// a bounded amount, whatever was declared.
 class learned_run_times final : public run_time_source {
  public:
   /// Adds a run that was done. `actual` is its time at full pace.
@@ -57,14 +67,25 @@
   void clear() { kinds_.clear(); }
 
  private:
-  /// Decaying moments of the logarithm of the actual time's ratio to the
-  /// declared one.
-  struct ratio {
+  /// Decaying moments of the logarithm of a positive quantity.
+  struct moments {
     double mean = 0;
     double variance = 0;
+    // The variance if values below the mean deviated like those above it.
+    double upper_variance = 0;
     uint64_t observations = 0;
+
+    void observe(double value);
+    /// The estimate in units of `unit_ms`.
+    time_estimate estimate(double unit_ms) const;
+  };
+  struct known_kind {
+    // Of the actual time to the declared one, if one was declared.
+    moments ratio;
+    // Of the actual time in milliseconds.
+    moments time;
   };
-  std::map<task_kind, ratio> kinds_;
+  std::map<task_kind, known_kind> kinds_;
 };
 
 }  // namespace kestrelreel
