Slack only where it is known: inherited runs and jobs, late ends, still runs

Load: a change of leader, restored runs and false progress gave jobs slack that they did not have.

A run whose begin this leader did not see, or that continues from a checkpoint, took all of its progress for gained in no time: its pace is now taken from what it gained since it was first heard of. Its end, and an end in a late heartbeat, teaches no run time. A run that has not advanced for longer than nine of ten of its kind take counts with at least its whole time, also at 100 percent. A job that is in time only as expected no longer drops out of the pool's slack by its upper estimate. Run times are looked up once per step, and slack only beside serving tasks.

--- a/fleet/controller-ends.cc
+++ b/fleet/controller-ends.cc
@@ -53,6 +53,8 @@
     if (end->number() <= last_known) continue;
     *report.add_ends() = *end;
     it.last_end_proposed = std::max(it.last_end_proposed, end->number());
+    // A late end tells no run time.
+    if (timely) scheduler_.progress().observe_end(it, *end);
     record_end(it, *end);
   }
   if (report.ends_size() == 0) return;
@@ -74,7 +76,6 @@
 void fleet_controller::record_end(worker_view& it, const fleet::run_end& end) {
   ++metrics_.counter("kestrelreel_run_ends_total",
                      {{"outcome", fleet::run_outcome_Name(end.outcome())}});
-  scheduler_.progress().observe_end(it, end);
   if (end.outcome() == fleet::run_done) {
     pending_successes_.insert(to_key(end.task()));
     it.failures = it.failed_jobs = it.refusals = it.avoided_times = 0;
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -340,6 +340,7 @@
   crash_times_.clear();
   recorded_progress_.clear();
   scheduler_.progress().clear();
+  scheduler_.reset_slack();
   admission_.clear();
   if (!leads_) return;
   led_term_ = log_.term();
--- a/fleet/job-progress.cc
+++ b/fleet/job-progress.cc
@@ -1,6 +1,7 @@
 #include "fleet/job-progress.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "fleet/job-order.h"
 
@@ -12,11 +13,22 @@
 constexpr milliseconds work_lifetime{250};
 constexpr double core_ms = 1'000'000;  // Of thousandths of a core.
 
-/// Since when the run has worked: its order was sent shortly before it was
-/// listed for the first time.
-time_point begin_of(const worker_view& it, const run_key& run, time_point now) {
+/// The declared time of a task, which may exceed what a time can hold.
+milliseconds declared_time(const fleet::step_spec& step) {
+  constexpr auto most = static_cast<uint64_t>(max_run_time.count());
+  return milliseconds(static_cast<int64_t>(std::min(step.estimate_ms(), most)));
+}
+
+/// Since when the run has worked, by its start order, which was sent shortly
+/// before; none if this leader did not send it or the run began from a
+/// checkpoint.
+std::optional<time_point> begin_of(const worker_view& it, const run_key& run,
+                                   const task_entry* task) {
   const auto sent = it.starts_sent_at.find(run);
-  return sent == it.starts_sent_at.end() ? now : sent->second;
+  if (sent == it.starts_sent_at.end() || task == nullptr ||
+      !task->saved.empty())
+    return std::nullopt;
+  return sent->second;
 }
 
 /// Time at full pace since the last observation.
@@ -40,11 +52,22 @@
     if (step == nullptr || step->long_running()) continue;
     const auto [state, fresh] = it.run_states.try_emplace(run);
     run_state& known = state->second;
-    if (fresh) known.observed_at = detail::begin_of(it, run, now);
+    if (fresh) {
+      const auto begin = detail::begin_of(it, run, book_.find(run.task));
+      known.begin_seen = begin.has_value();
+      known.observed_at = begin.value_or(now);
+      known.advanced_at = now;
+    }
     known.worked += detail::worked_since(it, run, known.observed_at, now);
     known.observed_at = now;
-    if (fresh || row.percent() > known.percent) known.advanced_at = now;
-    known.percent = row.percent();
+    const uint32_t percent = std::min(row.percent(), full_pace_percent);
+    if (percent > known.percent) known.advanced_at = now;
+    // A run that is being restored from its checkpoint may report 0.
+    if (!known.begin_seen && known.percent == 0) {
+      known.first_percent = percent;
+      known.worked = milliseconds(0);
+    }
+    known.percent = percent;
   }
 }
 
@@ -54,20 +77,23 @@
   const run_key run{to_key(end.task()), run_number(end.run())};
   const job_entry* job = book_.find(run.task.job);
   const fleet::step_spec* step = book_.find_step(run.task);
-  const task_entry* task = book_.find(run.task);
-  // A run that continued from a checkpoint tells no whole run time.
-  if (step == nullptr || task == nullptr || !task->saved.empty()) return;
-  const time_point now = clock_.now();
+  if (step == nullptr || step->long_running()) return;
+  run_state known;
   const auto state = it.run_states.find(run);
-  const bool listed = state != it.run_states.end();
-  if (!listed && !it.starts_sent_at.contains(run)) return;
-  const time_point from =
-      listed ? state->second.observed_at : detail::begin_of(it, run, now);
+  if (state != it.run_states.end()) {
+    known = state->second;
+  } else if (const auto begin =
+                 detail::begin_of(it, run, book_.find(run.task))) {
+    known.begin_seen = true;
+    known.observed_at = *begin;
+  }
+  // Other runs tell no whole run time.
+  if (!known.begin_seen) return;
   const milliseconds worked =
-      (listed ? state->second.worked : milliseconds(0)) +
-      detail::worked_since(it, run, from, now);
+      known.worked +
+      detail::worked_since(it, run, known.observed_at, clock_.now());
   learned_.observe({book_.queue_of(*job).name(), run.task.step},
-                   milliseconds(step->estimate_ms()), worked);
+                   detail::declared_time(*step), worked);
 }
 
 void job_progress::clear() {
@@ -77,10 +103,9 @@
 
 time_estimate job_progress::run_time(const job_entry& job,
                                      uint32_t step) const {
-  const uint64_t declared =
-      job.spec.steps(static_cast<int>(step)).estimate_ms();
-  return run_time({book_.queue_of(job).name(), step},
-                  milliseconds(static_cast<int64_t>(declared)));
+  return run_time(
+      {book_.queue_of(job).name(), step},
+      detail::declared_time(job.spec.steps(static_cast<int>(step))));
 }
 
 time_estimate job_progress::run_time(const task_kind& kind,
@@ -89,17 +114,23 @@
                 : declared_.run_time(kind, declared);
 }
 
-/// Remaining time of a task that is not done.
+/// Remaining time of a task that is not done. A run that has not advanced for
+/// longer than a whole one takes may never end: at least a whole run is left.
 time_estimate job_progress::remaining_of(const job_entry& job,
-                                         const task_key& key) const {
-  const time_estimate whole = run_time(job, key.step);
+                                         const task_key& key,
+                                         const time_estimate& whole) const {
   const task_entry& task = job.times[key.time][key.step].tasks[key.index];
   if (!learn_ || task.phase != task_phase::running) return whole;
   const worker_view* worker = workers_.find(task.worker);
   if (worker == nullptr) return whole;
   const auto state = worker->run_states.find({key, task.run});
   if (state == worker->run_states.end()) return whole;
-  return remaining_time(whole, state->second.worked, state->second.percent);
+  const run_state& known = state->second;
+  const time_estimate left =
+      remaining_time(whole, known.worked, known.percent, known.first_percent);
+  if (clock_.now() - known.advanced_at <= whole.high) return left;
+  return {std::max(left.expected, whole.expected),
+          std::max(left.high, whole.high)};
 }
 
 /// Work of a step of the first repetition; adds its processor time.
@@ -110,10 +141,11 @@
   step_work out;
   out.depends_on.assign(spec.depends_on().begin(), spec.depends_on().end());
   if (spec.long_running()) return out;
+  const time_estimate whole = run_time(job, step);
   const step_entry& entry = job.times.front()[step];
   for (uint32_t i = 0; i < entry.tasks.size(); ++i) {
     if (entry.tasks[i].phase == task_phase::done) continue;
-    const time_estimate left = remaining_of(job, {number, 0, step, i});
+    const time_estimate left = remaining_of(job, {number, 0, step, i}, whole);
     out.remaining.expected = std::max(out.remaining.expected, left.expected);
     out.remaining.high = std::max(out.remaining.high, left.high);
     core_seconds += static_cast<double>(left.expected.count()) *
@@ -158,9 +190,8 @@
     step_work& step = steps.emplace_back();
     step.depends_on.assign(it.depends_on().begin(), it.depends_on().end());
     if (it.long_running()) continue;
-    step.remaining =
-        run_time({queue.name(), static_cast<uint32_t>(i)},
-                 milliseconds(static_cast<int64_t>(it.estimate_ms())));
+    step.remaining = run_time({queue.name(), static_cast<uint32_t>(i)},
+                              detail::declared_time(it));
     out.core_seconds += static_cast<double>(step.remaining.expected.count()) *
                         static_cast<double>(it.cpu_milli()) * it.count() /
                         detail::core_ms;
@@ -185,7 +216,7 @@
   const uint32_t step = run.task.step;
   if (job == nullptr || task == nullptr || step >= work.after.size())
     return milliseconds(0);
-  const time_estimate own = remaining_of(*job, run.task);
+  const time_estimate own = remaining_of(*job, run.task, run_time(*job, step));
   const time_estimate& after = work.after[step];
   return slack_of({own.expected + after.expected, own.high + after.high},
                   clock_.now(), deadline);
--- a/fleet/job-progress.h
+++ b/fleet/job-progress.h
@@ -23,7 +23,8 @@
 
   /// Updates the run states of a worker from its timely heartbeat.
   void observe_rows(worker_view& it) const;
-  /// Learns from an end that a worker lists.
+  /// Learns from an end that a timely heartbeat lists, if the run's begin was
+  /// seen.
   void observe_end(const worker_view& it, const fleet::run_end& end);
   /// Drops all state of a job that is over.
   void forget(job_number job) { works_.erase(job); }
@@ -65,7 +66,8 @@
   };
   const job_work& work_of(job_number number);
   time_estimate run_time(const task_kind& kind, milliseconds declared) const;
-  time_estimate remaining_of(const job_entry& job, const task_key& task) const;
+  time_estimate remaining_of(const job_entry& job, const task_key& task,
+                             const time_estimate& whole) const;
   step_work step_work_of(const job_entry& job, job_number number, uint32_t step,
                          double& core_seconds) const;
 
--- a/fleet/pacing.cc
+++ b/fleet/pacing.cc
@@ -102,8 +102,6 @@
          detail::reference_use(it.beat, row.reading()),
          detail::reference_use(it.beat, static_cast<double>(step->cpu_milli())),
          1.0});
-    if (settings_.decisions.throttle_by_slack)
-      all.back().slack = backfill_slack(run);
   }
   return all;
 }
@@ -112,6 +110,10 @@
 void fleet_scheduler::pace(worker_view& it) {
   const std::vector<serving_task> serving = serving_tasks(it);
   std::vector<backfill_task> tasks = backfill_tasks(it);
+  if (settings_.decisions.throttle_by_slack && !serving.empty()) {
+    for (backfill_task& backfill : tasks)
+      backfill.slack = backfill_slack(backfill.run);
+  }
   std::vector<image_use> use;
   use.reserve(tasks.size());
   for (const backfill_task& backfill : tasks)
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -55,6 +55,9 @@
   void pace(worker_view& it);
   /// Drops all state of a job that is over.
   void forget(job_number job);
+  /// The box begins or ends to lead. It doesn't know how old the jobs are that
+  /// it finds then: they have no slack.
+  void reset_slack();
   /// Reserves capacity for long-running tasks that are pending for too long and
   /// returns the runs to evict; runs in `stopping` have been ordered to stop.
   reservation_result reserve_capacity(const std::set<run_key>& stopping);
@@ -311,6 +314,8 @@
     milliseconds least = milliseconds::max();
   };
   std::map<std::string, known_slack> pool_slacks_;
+  // Of the jobs that this leader found, the highest order.
+  uint64_t last_inherited_order_ = 0;
   // Steps logged as possible only on evacuated workers.
   std::set<task_key> reported_only_evacuated_;
   // Next attempt for a step that did not fit, by first task.
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -71,13 +71,19 @@
   time_point until{};
 };
 
-/// Progress of a run since its worker listed it for the first time.
+/// Progress of a run, from its start if this leader ordered it and it began
+/// without a checkpoint, else from the first progress that was heard of.
 struct run_state {
-  /// Work so far, as time at full pace.
+  /// The start was seen, and the run began without a checkpoint.
+  bool begin_seen = false;
+  /// Progress from which `worked` counts; 0 if the begin was seen.
+  uint32_t first_percent = 0;
+  /// Work since then, as time at full pace.
   milliseconds worked{0};
   time_point observed_at{};
   /// When the reported progress last rose.
   time_point advanced_at{};
+  /// As last reported, at most 100.
   uint32_t percent = 0;
 };
 
--- a/scheduling/job-slack-test.cc
+++ b/scheduling/job-slack-test.cc
@@ -20,15 +20,29 @@
     int worked_ms;
     uint32_t percent;
     int expected_ms;
+    uint32_t first_percent = 0;
   };
   // A kind that takes 4 s.
-  const row rows[] = {
-      {0, 0, 4'000},      {500, 0, 4'000},    {2'000, 50, 2'000},
-      {4'000, 50, 3'000}, {1'000, 50, 1'500}, {9'000, 90, 940},
-      {4'000, 100, 0},    {4'000, 250, 0},    {20'000, 0, 4'000}};
+  const row rows[] = {{0, 0, 4'000},
+                      {500, 0, 4'000},
+                      {2'000, 50, 2'000},
+                      {4'000, 50, 3'000},
+                      {1'000, 50, 1'500},
+                      {9'000, 90, 940},
+                      {4'000, 100, 0},
+                      {4'000, 250, 0},
+                      {20'000, 0, 4'000},
+                      // First heard of at 50 percent, nothing gained; half of
+                      // the rest in 1 s; progress that ran back.
+                      {0, 50, 2'000, 50},
+                      {3'000, 50, 2'000, 50},
+                      {1'000, 75, 1'000, 50},
+                      {9'000, 30, 2'800, 50},
+                      {1'000, 30, 2'800, 4'000'000}};
   for (const row& it : rows) {
-    const time_estimate out = remaining_time(
-        estimate(4'000, 4'000), milliseconds(it.worked_ms), it.percent);
+    const time_estimate out =
+        remaining_time(estimate(4'000, 4'000), milliseconds(it.worked_ms),
+                       it.percent, it.first_percent);
     LONGS_EQUAL(it.expected_ms, out.expected.count());
   }
 }
@@ -87,7 +101,12 @@
   };
   const time_point now(50'000);
   const auto job = [&](double work, int path_ms, int due_ms) {
-    return due_work{work, milliseconds(path_ms), now + milliseconds(due_ms)};
+    return due_work{work, estimate(path_ms, path_ms),
+                    now + milliseconds(due_ms)};
+  };
+  const auto uncertain = [&](int expected_ms, int high_ms, int due_ms) {
+    return due_work{1, estimate(expected_ms, high_ms),
+                    now + milliseconds(due_ms)};
   };
   const row rows[] = {
       {"no jobs", {}, 10, milliseconds::max().count()},
@@ -105,6 +124,14 @@
        {job(40, 6'000, 5'000), job(10, 1'000, 6'000)},
        10,
        5'000},
+      {"in time only as expected",
+       {uncertain(2'000, 6'000, 5'000)},
+       10,
+       -1'000},
+      {"expected to be late",
+       {uncertain(5'001, 6'000, 5'000)},
+       10,
+       milliseconds::max().count()},
       {"no processors", {job(40, 1'000, 5'000)}, 0, 5'000 - 1'000'000'000}};
   for (const row& it : rows) {
     LONGS_EQUAL_TEXT(it.least_ms, least_slack(it.jobs, it.cores, now).count(),
--- a/scheduling/job-slack.cc
+++ b/scheduling/job-slack.cc
@@ -12,14 +12,16 @@
 }  // namespace detail
 
 time_estimate remaining_time(const time_estimate& whole, milliseconds worked,
-                             uint32_t percent) {
+                             uint32_t percent, uint32_t first_percent) {
   const int64_t done = std::min<int64_t>(percent, detail::full_percent);
   const int64_t left = detail::full_percent - done;
+  const int64_t gained = done - first_percent;
   const auto remaining = [&](milliseconds whole_run) {
     const milliseconds by_kind = whole_run * left / detail::full_percent;
-    if (done == 0) return by_kind;
-    const milliseconds by_pace = worked * left / done;
-    return (by_kind * left + by_pace * done) / detail::full_percent;
+    if (gained <= 0) return by_kind;
+    const milliseconds by_pace = worked * left / gained;
+    return (by_kind * (detail::full_percent - gained) + by_pace * gained) /
+           detail::full_percent;
   };
   return {remaining(whole.expected), remaining(whole.high)};
 }
@@ -58,8 +60,9 @@
 
 milliseconds least_slack(std::vector<due_work> jobs, double cores,
                          time_point now) {
-  std::erase_if(jobs,
-                [&](const auto& it) { return it.deadline - now < it.path; });
+  std::erase_if(jobs, [&](const auto& it) {
+    return it.deadline - now < it.path.expected;
+  });
   std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
     return a.deadline < b.deadline;
   });
@@ -68,7 +71,7 @@
   for (const due_work& it : jobs) {
     work += it.core_seconds;
     const milliseconds shared = time_for(work, cores);
-    least = std::min(least, it.deadline - now - std::max(it.path, shared));
+    least = std::min(least, it.deadline - now - std::max(it.path.high, shared));
   }
   return least;
 }
--- a/scheduling/job-slack.h
+++ b/scheduling/job-slack.h
@@ -20,13 +20,14 @@
   time_estimate remaining;
 };
 
-/// Remaining time of a run that has worked for `worked` at full pace and
-/// reports `percent` of its work done. Joins the estimate of its kind and its
-/// own pace; the weight of its pace grows with the progress, as a task that has
-/// just begun reports mostly its start. Progress beyond 100 counts as 100; a
-/// run without progress is expected to take its whole time.
+/// Remaining time of a run that has worked for `worked` at full pace since it
+/// reported `first_percent` of its work done, and now reports `percent`. Joins
+/// the estimate of its kind and its own pace; the weight of its pace grows with
+/// what it gained, as a task that has just begun reports mostly its start.
+/// Progress beyond 100 counts as 100; a run that gained nothing is estimated by
+/// its kind alone.
 time_estimate remaining_time(const time_estimate& whole, milliseconds worked,
-                             uint32_t percent);
+                             uint32_t percent, uint32_t first_percent = 0);
 
 /// For each step, the time from its end until the last step that depends on it
 /// ends. A dependency on a later step is ignored.
@@ -44,13 +45,13 @@
 struct due_work {
   double core_seconds = 0;
   /// Time that it needs if no task waits for capacity.
-  milliseconds path{0};
+  time_estimate path;
   time_point deadline{};
 };
 
-/// Least slack of the jobs that can still meet their deadlines by their own
-/// paths, if they get `cores` processors in the order of deadlines; the longest
-/// time without such jobs. Negative if not all of them can be in time.
+/// Least slack of the jobs that are expected to meet their deadlines by their
+/// own paths, if they get `cores` processors in the order of deadlines; the
+/// longest time without such jobs. Negative if not all of them can be in time.
 milliseconds least_slack(std::vector<due_work> jobs, double cores,
                          time_point now);
 
