Order in overload: waiting work, paths, required jobs, one clock, priorities

The choice took a job's whole work as due at its deadline, counted what ran as work that could give way, kept hopeless jobs beside a required one that was late, and weighed each priority as if it had the pool. A new leader chose by the few workers that had called. Jobs that gave way returned in any number, also when their end was of no use any more.

- due_job has the job's path; the pool must have done its work before the deadline by what the path exceeds the work's own time.
Work is that of tasks that do not run (job_progress::waiting_work); what is left of runs is work ahead if run times are learned.
- An optional job that the required work alone makes late is passed over.
- With the switch on, jobs are tried by learned objectives and remaining times.
- One job of each pool, kind and priority returns at a time, the oldest, if it can still end while of use; it is required in the choice.
- begin_leadership clears what was decided; no choice until the capacity is known.
- Work served at more urgent priorities is ahead of the less urgent ones.
- One line and count for a job's first passing and return; less often while the leader lags.

--- a/fleet/controller-lag.cc
+++ b/fleet/controller-lag.cc
@@ -31,6 +31,8 @@
     metrics_.counter("kestrelreel_backfill_throttled_by_slack_total") += n;
   if (const uint64_t n = scheduler_.take_passed_over(); n > 0)
     metrics_.counter("kestrelreel_jobs_passed_over_total") += n;
+  if (const uint64_t n = scheduler_.take_gone_first(); n > 0)
+    metrics_.counter("kestrelreel_jobs_gone_first_total") += n;
   move_starved_backfill();
   reserve_capacity();
   scheduler_.report_waits();
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -352,6 +352,7 @@
   // received after the leave may be lost.
   for (const worker_id& id : book_.left()) mark_left(id.str());
   led_since_ = ticked_at_ = clock_.now();
+  scheduler_.begin_leadership(led_since_ + settings_.leases.expiry_delay());
   heartbeats_since_tick_ = late_heartbeats_since_tick_ = 0;
   catching_up_until_ = losses_deferred_until_ = {};
   losses_reviewed_ = true;
--- a/fleet/job-order.cc
+++ b/fleet/job-order.cc
@@ -94,9 +94,9 @@
 }
 
 job_order order_of(const job_entry& job, const fleet::queue_route& queue,
+                   milliseconds objective, milliseconds path,
                    time_point accepted, time_point now) {
-  const milliseconds objective = objective_of(job, queue);
-  const time_point end = now + critical_path_time(job, false);
+  const time_point end = now + path;
   job_order order;
   order.priority = queue.priority();
   order.deadline = accepted + objective;
@@ -110,4 +110,10 @@
   return order;
 }
 
+job_order order_of(const job_entry& job, const fleet::queue_route& queue,
+                   time_point accepted, time_point now) {
+  return order_of(job, queue, objective_of(job, queue),
+                  critical_path_time(job, false), accepted, now);
+}
+
 }  // namespace kestrelreel
--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -19,7 +19,10 @@
 enum class job_standing : uint8_t {
   /// Long-running, with interrupted tasks that have been pending for long.
   interrupted,
-  /// Can still end within its objective.
+  /// Can still end within its objective; or gave way to others in overload,
+  /// came to be late for it and goes first, so that its end is of use at least.
+  /// That end is worth less than one in time, and others that could be in time
+  /// may miss their objectives for it: one job at a time may cost them that.
   in_time,
   /// Long-running: the cost of a delay is proportional to its length.
   long_running,
@@ -67,7 +70,12 @@
 /// Processors of the job's smallest long-running task, in thousandths.
 uint64_t smallest_task_cpu(const job_entry& job);
 
-/// Sort key at `now` of a job that was accepted at `accepted`.
+/// Sort key at `now` of a job that was accepted at `accepted`, should end
+/// within `objective` and still takes `path` if no task waits.
+job_order order_of(const job_entry& job, const fleet::queue_route& queue,
+                   milliseconds objective, milliseconds path,
+                   time_point accepted, time_point now);
+/// The same by declared times.
 job_order order_of(const job_entry& job, const fleet::queue_route& queue,
                    time_point accepted, time_point now);
 
--- a/fleet/job-progress.cc
+++ b/fleet/job-progress.cc
@@ -102,10 +102,9 @@
   return remaining_time(whole, state->second.worked, state->second.percent);
 }
 
-/// Work of a step of the first repetition; adds its processor time.
+/// Work of a step of the first repetition; adds its processor time to `total`.
 step_work job_progress::step_work_of(const job_entry& job, job_number number,
-                                     uint32_t step,
-                                     double& core_seconds) const {
+                                     uint32_t step, job_work& total) const {
   const fleet::step_spec& spec = job.spec.steps(static_cast<int>(step));
   step_work out;
   out.depends_on.assign(spec.depends_on().begin(), spec.depends_on().end());
@@ -116,8 +115,11 @@
     const time_estimate left = remaining_of(job, {number, 0, step, i});
     out.remaining.expected = std::max(out.remaining.expected, left.expected);
     out.remaining.high = std::max(out.remaining.high, left.high);
-    core_seconds += static_cast<double>(left.expected.count()) *
-                    static_cast<double>(spec.cpu_milli()) / detail::core_ms;
+    const double work = static_cast<double>(left.expected.count()) *
+                        static_cast<double>(spec.cpu_milli()) / detail::core_ms;
+    total.core_seconds += work;
+    if (entry.tasks[i].phase == task_phase::waiting)
+      total.waiting_core_seconds += work;
   }
   return out;
 }
@@ -134,7 +136,7 @@
   std::vector<step_work> steps;
   std::vector<step_work> whole_steps;
   for (uint32_t i = 0; i < job->times.front().size(); ++i) {
-    steps.push_back(step_work_of(*job, number, i, out.core_seconds));
+    steps.push_back(step_work_of(*job, number, i, out));
     whole_steps.push_back({steps.back().depends_on, run_time(*job, i)});
   }
   out.after = time_after(steps);
@@ -178,6 +180,10 @@
   return work_of(job).core_seconds;
 }
 
+double job_progress::waiting_work(job_number job) {
+  return work_of(job).waiting_core_seconds;
+}
+
 milliseconds job_progress::slack(const run_key& run, time_point deadline) {
   const job_entry* job = book_.find(run.task.job);
   const task_entry* task = book_.find(run.task);
--- a/fleet/job-progress.h
+++ b/fleet/job-progress.h
@@ -44,6 +44,8 @@
   /// Processor time that the job still needs without its long-running tasks, in
   /// core-seconds.
   double remaining_work(job_number job);
+  /// The part of it in tasks that do not run.
+  double waiting_work(job_number job);
   /// Time from acceptance within which the job should end, by what its steps
   /// take rather than what was declared.
   milliseconds objective(job_number job);
@@ -62,12 +64,14 @@
     milliseconds whole{0};
     std::vector<time_estimate> after;
     double core_seconds = 0;
+    // Of the tasks that do not run.
+    double waiting_core_seconds = 0;
   };
   const job_work& work_of(job_number number);
   time_estimate run_time(const task_kind& kind, milliseconds declared) const;
   time_estimate remaining_of(const job_entry& job, const task_key& task) const;
   step_work step_work_of(const job_entry& job, job_number number, uint32_t step,
-                         double& core_seconds) const;
+                         job_work& out) const;
 
   const job_book& book_;
   worker_table& workers_;
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -130,12 +130,10 @@
                                              const job_entry& job) {
   job_tracking& tracking = tracking_of(number);
   const time_point now = clock_.now();
-  job_order order = order_of(job, book_.queue_of(job), tracking.accepted, now);
-  if (order.standing == job_standing::in_time && tracking.passed_over)
-    order.standing = job_standing::passed_over;
-  if (order.standing == job_standing::late &&
-      was_passed_over_for_long(tracking, number))
-    order.standing = job_standing::in_time;
+  job_order order =
+      settings_.decisions.overload_order
+          ? order_in_overload(number, job)
+          : order_of(job, book_.queue_of(job), tracking.accepted, now);
   if (order.standing != job_standing::long_running) return order;
   if (!tracking.pending_since) tracking.pending_since = now;
   if (now - *tracking.pending_since < settings_.long_running_first_after)
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -35,6 +35,9 @@
         clock_(clock),
         progress_(book, workers, clock, settings.decisions.learn_run_times) {}
 
+  /// Begins a new leadership: the pools' capacity is known from then on, when
+  /// all live workers have called.
+  void begin_leadership(time_point capacity_known_at);
   /// Returns the starts that are possible now, the most urgent first, and
   /// records each as proposed at its worker. `wall_ms` is the time of day, for
   /// jobs with a start time; it advances with the clock until the next plan.
@@ -77,8 +80,10 @@
   uint64_t take_throttled_by_slack() {
     return std::exchange(throttled_by_slack_, 0);
   }
-  /// Number of jobs that came to be passed over since the last call.
+  /// Number of jobs passed over for the first time since the last call.
   uint64_t take_passed_over() { return std::exchange(passed_over_, 0); }
+  /// Number of jobs that gave way and came to go first since the last call.
+  uint64_t take_gone_first() { return std::exchange(gone_first_, 0); }
   /// Progress of live jobs, which the controller feeds.
   job_progress& progress() { return progress_; }
   /// True if a start of the task is proposed but not yet in the book.
@@ -128,6 +133,15 @@
     run_number run;
     worker_view* worker;
   };
+  /// A job's part in overload: overload.cc.
+  struct overload_state {
+    bool passed_over = false;  // Gives way to others now.
+    bool gave_way = false;     // Was passed over when it came to be late.
+    bool goes_first = false;   // Late for it, and served before others now.
+    // Decisions that have been reported, each only once.
+    bool passing_reported = false;
+    bool return_reported = false;
+  };
   /// Scheduling state of a live job that the book does not hold.
   struct job_tracking {
     time_point accepted;
@@ -135,9 +149,7 @@
     std::optional<time_point> pending_since;
     // Since when the job has pending tasks but none that runs.
     std::optional<time_point> idle_since;
-    // In overload: the job gives way to others now, and since when at first.
-    bool passed_over = false;
-    std::optional<time_point> passed_over_since;
+    overload_state overload;
     // The job's work has been added to the short demand.
     bool demand_recorded = false;
   };
@@ -154,11 +166,17 @@
   job_tracking& tracking_of(job_number number);
   bool has_tasks_to_place(job_number number, const job_entry& job);
   // Order in overload: overload.cc.
+  struct contenders;
   void review_overload();
+  void add_contender(job_number number, contenders& group);
+  double running_work(job_number number);
+  double choose_served(contenders& group, double cores, double work_ahead);
+  void let_one_return(contenders& group, double cores);
+  bool may_return(job_number number, double cores);
   void pass_over(job_number number, bool passed);
-  static bool may_be_passed_over(const job_entry& job);
-  bool was_passed_over_for_long(const job_tracking& tracking,
-                                job_number number);
+  void go_first(job_number number);
+  void log_overload(const char* event, job_number number);
+  job_order order_in_overload(job_number number, const job_entry& job);
   std::vector<worker_view*> candidates();
   std::vector<worker_view*> plan_candidates();
   std::vector<worker_view*> open_candidates();
@@ -344,7 +362,8 @@
   uint64_t evaluations_ = 0;
   uint64_t throttled_by_slack_ = 0;
   uint64_t passed_over_ = 0;
-  time_point overload_reviewed_at_{};
+  uint64_t gone_first_ = 0;
+  time_point overload_review_due_{};
 };
 
 /// True if the worker's heartbeat lists the label.
--- a/scheduling/overload-order.h
+++ b/scheduling/overload-order.h
@@ -9,21 +9,26 @@
 
 namespace kestrelreel {
 
-/// A job that can still meet its deadline.
+/// A job with work that has not begun.
 struct due_job {
-  /// Processor time that it still needs, in core-seconds.
+  /// Processor time of the tasks that do not run yet, in core-seconds.
   double work = 0;
+  /// Time that the job still takes if no task waits for capacity.
+  milliseconds path{0};
   time_point deadline{};
-  /// False for a job that is served even if others are late for it.
-  bool may_be_passed_over = true;
+  /// True for a job that is served even if others are late for it.
+  bool must_be_served = false;
 };
 
 /// Marks the jobs to be passed over so that as many of the others as possible
-/// meet their deadlines on `cores` processors: by Moore and Hodgson (1968),
-/// with the pool taken as one machine. Marks none when all fit. A job that must
-/// be served and cannot be in time even alone makes no other give way. Takes n
-/// log n.
+/// meet their deadlines on `cores` processors after `work_ahead` core-seconds:
+/// by Moore and Hodgson (1968), with the pool taken as one machine that must
+/// have done a job's work early enough for the job's path. Marks none when all
+/// fit or without processors. All jobs that are not marked meet their
+/// deadlines, but for those that must be served and are late with the like of
+/// them alone. The most are in time if such late ones are due before all
+/// others; else a few more might be. Takes n log n.
 std::vector<bool> jobs_to_pass_over(std::span<const due_job> jobs, double cores,
-                                    time_point now);
+                                    double work_ahead, time_point now);
 
 }  // namespace kestrelreel
