--- a/fleet/overload-test.cc
+++ b/fleet/overload-test.cc
@@ -168,6 +168,41 @@
   }
 }
 
+// Tasks take three times their declared time: by that a waiting job seems late
+// when it can still be in time.
+TEST(fleet_overload, jobs_are_tried_by_learned_times) {
+  constexpr uint64_t learning_jobs = 6;
+  for (const bool on : {false, true}) {
+    overload_world world(on, true);
+    const auto beat_for = [&](milliseconds n) {
+      for (milliseconds at{0}; at < n; at += milliseconds(100)) {
+        world.beat("a");
+        world.pass(milliseconds(100));
+      }
+    };
+    const auto end_all = [&] {
+      const auto rows = world.workers["a"].running();
+      for (const auto& row : rows)
+        world.end("a", row.task(), row.run(), fleet::run_done);
+      return world.beat("a");
+    };
+    for (uint64_t job = 1; job <= learning_jobs; ++job) {
+      world.submit(job, {test_world::make_step(4)});
+      beat_for(3 * task_time);
+      end_all();
+    }
+    world.submit(100, {test_world::make_step(4)});
+    beat_for(milliseconds(200));
+    for (auto& row : *world.workers["a"].mutable_running()) row.set_percent(90);
+    world.submit(101, {test_world::make_step(4)});
+    beat_for(milliseconds(2'500));
+    world.submit(102, {test_world::make_step(4)});
+    const fleet::worker_orders orders = end_all();
+    CHECK_TRUE(orders.starts_size() > 0);
+    LONGS_EQUAL(on ? 101 : 102, orders.starts(0).task().job());
+  }
+}
+
 // Small jobs for all processors keep coming: the large one ends while its end
 // is of use, within three times its objective.
 TEST(fleet_overload, passed_over_jobs_end) {
