--- a/fleet/pool-load.cc
+++ b/fleet/pool-load.cc
@@ -55,7 +55,7 @@
   const time_point end = clock_.now() + progress_.remaining(number).expected;
   out.deadline = tracking.accepted + objective;
   out.useful_until = tracking.accepted + objective * late_factor;
-  out.in_time = !tracking.passed_over && end <= out.deadline;
+  out.in_time = !tracking.overload.passed_over && end <= out.deadline;
   if (end <= out.useful_until) out.work = progress_.remaining_work(number);
   return out;
 }
