--- a/fleet/overload-test.cc
+++ b/fleet/overload-test.cc
@@ -220,6 +220,40 @@
   CHECK_TRUE(world.is_done(1));
 }
 
+// Four large jobs give way; each takes 2 s, so that one after another they
+// could not all return while of use.
+TEST(fleet_overload, jobs_that_gave_way_return_one_at_a_time) {
+  constexpr milliseconds pause{500};
+  constexpr uint64_t large = 4;
+  overload_world world;
+  for (uint64_t job = 1; job <= large; ++job)
+    world.submit(job, {test_world::make_step(8)});
+  uint64_t job = large + 1;
+  for (milliseconds at{0}; at < 2 * objective + task_time; at += pause) {
+    world.submit(job++, {test_world::make_step(4)});
+    world.run(pause);
+  }
+  CHECK_TRUE(world.count(passed_over) >= large - 1);
+  LONGS_EQUAL(1, world.count(gone_first));
+}
+
+// The work of the first job takes 8 s: from 6 s on it could no longer end
+// within 9 s.
+TEST(fleet_overload, job_whose_end_is_of_no_use_does_not_return) {
+  constexpr milliseconds pause{500};
+  overload_world world;
+  world.submit(1, {test_world::make_step(32)});
+  world.run(pause);
+  uint64_t job = 2;
+  for (milliseconds at = pause; at < 2 * objective; at += pause) {
+    world.submit(job++, {test_world::make_step(4)});
+    world.run(pause);
+  }
+  world.run(milliseconds(400));
+  CHECK_TRUE(world.count(passed_over) > 0);
+  LONGS_EQUAL(0, world.count(gone_first));
+}
+
 TEST(fleet_overload, new_leader_serves_all_jobs) {
   overload_world world;
   submit_overload(world);
