--- a/fleet/scheduler-settings.h
+++ b/fleet/scheduler-settings.h
@@ -22,10 +22,9 @@
   unsigned min_backfill_cpu_percent = 70;
   unsigned min_backfill_pace_percent = 50;
   /// Maximum of the processors that backfill tasks lose by throttling for one
-  /// serving task's target, of a worker with 32. With more, backfill jobs
-  /// become late while targets are missed all the same: a fleet with backfill
-  /// demand for all free processors earned a mean worth over five days of 0.44
-  /// at 10, 0.51 at 3 to 12, 0.56 at 1.5 and 0.55 at 0.
+  /// serving task's target, of a worker with 32; what a job with slack loses
+  /// counts less. With more, backfill jobs become late while targets are missed
+  /// all the same (docs/design/shifted-load.md).
   double max_backfill_loss_cores = 1.5;
   /// A job without a running task for this long starts one backfill task on any
   /// worker with capacity, however slow its pace: users allow 3 s.
