--- a/support/faults/soak-boxes.cc
+++ b/support/faults/soak-boxes.cc
@@ -63,7 +63,9 @@
         << path(name, "data") << R"(","losses_tolerated":)" << tolerated
         << R"(,"worker_hold":"3s","listen":{"control":")"
         << place_.control_address(i) << R"(","peers":")" << place_.hidden_ip(i)
-        << ":" << soak_peer_port << "\"}" << common << "}\n";
+        << ":" << soak_peer_port << "\"}"
+        << R"(,"decisions":{"learn_run_times":true,"throttle_by_slack":true,)"
+        << R"("admission":true,"overload_order":true})" << common << "}\n";
   }
   for (unsigned i = 0; i < place_.entries; ++i) {
     const std::string name = soak_place::entry_name(i);
@@ -71,8 +73,8 @@
         << R"({"box":")" << place_.entry_ip(i) << R"(","name":")" << name
         << R"(","role":"entry","listen":{"callers":")"
         << place_.callers_address(i) << R"(","readiness":")"
-        << place_.entry_ip(i) << ":" << soak_ready_port << "\"}" << common
-        << "}\n";
+        << place_.entry_ip(i) << ":" << soak_ready_port << "\"}"
+        << R"(,"decisions":{"hold_without_leader":true})" << common << "}\n";
   }
 }
 
