--- a/fleet/interference.h
+++ b/fleet/interference.h
@@ -31,7 +31,8 @@
 /// processors add less than a third to the load.
 constexpr double negligible_cost = 0.02;
 /// Own load assumed for serving tasks when a backfill task is placed: the upper
-/// part of the users' range, 0.24 to 0.72.
+/// part of the users' range, 0.24 to 0.72, as loads rise and fall while the
+/// task runs.
 constexpr double planned_load = 0.68;
 /// Load that backfill tasks may add to `planned_load`, as a share of it.
 constexpr double max_added_load = max_load / planned_load - 1;
--- a/fleet/scheduler-settings.h
+++ b/fleet/scheduler-settings.h
@@ -22,9 +22,10 @@
   unsigned min_backfill_cpu_percent = 70;
   unsigned min_backfill_pace_percent = 50;
   /// Maximum of the processors that backfill tasks lose by throttling for one
-  /// serving task's target, of a worker with 32; what a job with slack loses
-  /// counts less. With more, backfill jobs become late while targets are missed
-  /// all the same (docs/design/shifted-load.md).
+  /// serving task's target, of a worker with 32. With more, backfill jobs
+  /// become late while targets are missed all the same, if there is backfill
+  /// demand for all free processors (docs/design/shifted-load.md). What a job
+  /// with slack loses counts less.
   double max_backfill_loss_cores = 1.5;
   /// A job without a running task for this long starts one backfill task on any
   /// worker with capacity, however slow its pace: users allow 3 s.
