A reload during a box's start no longer ends it

Cause: signals were watched only once the services had started, so that a SIGHUP before that had its default effect. They are watched from the process's construction on; what comes is handled when it serves. What is left: the reading of the settings before it.

planned_stop.reload_during_the_start_ends_the_box is killed by the signal without the change and passes with it; planned-stop (3) passed.

--- a/daemon/planned-stop-test.cc
+++ b/daemon/planned-stop-test.cc
@@ -229,3 +229,13 @@
   }
   CHECK_TRUE(length < stop_time);
 }
+
+// A reload during a box's start ended the process: the signal came before it
+// was watched.
+TEST(planned_stop, reload_during_the_start_ends_the_box) {
+  const std::string file = std::filesystem::temp_directory_path() /
+                           str_cat("early-reload-", getpid(), ".json");
+  auto settings = parse_seeded_settings(file, settings_text());
+  seeded_process it(file, std::get<seeded_settings>(std::move(settings)));
+  for (const int signal : {SIGHUP, SIGTERM}) LONGS_EQUAL(0, raise(signal));
+}
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -42,6 +42,8 @@
       stop_timer_(context_.io),
       reload_timer_(context_.io) {
   context_.settings = std::move(settings);
+  // A signal may come while the services start, which takes long on a busy box.
+  watch_signals();
 }
 
 absl::Status seeded_process::add_services() {
@@ -64,7 +66,6 @@
   absl::Status status = add_services();
   if (status.ok()) status = registry_.start();
   if (!status.ok()) return status;
-  watch_signals();
   reload_timer_.start(detail::reload_interval, [this] { reload(); });
   log_event(detail::process_name, log_level::info, "started")
       .with("box", context_.settings.box.str())
