--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -9,8 +9,8 @@
 
 namespace kestrelreel {
 
-/// Up to this multiple of its objective a late job still has a worth (the
-/// users' rules, "Credit").
+/// A job that ends after this multiple of its objective is of no use to its
+/// caller any more.
 constexpr int64_t late_factor = 3;
 
 /// State of a pending job relative to its objective, in scheduling order. A job
