--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+sys.excepthook = lambda *it: (sys.__excepthook__(*it), os._exit(2))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 
 import case as cases  # noqa: E402
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -74,7 +74,8 @@
     """`main` returns what broke, or nothing."""
     case = None
     # Whoever ends the script early leaves none of its processes behind.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    for it in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(it, lambda *_: sys.exit(COULD_NOT_RUN))
     code = COULD_NOT_RUN
     try:
         case = Case(folder, entries)
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -7,6 +7,8 @@
 from net import ask, to_pair
 
 HOST = "nony24.example"
+# So much of a body goes into the record.
+BODY_TOLD = 300
 PREFIX = "/lohu930/"
 
 
@@ -38,6 +40,7 @@
         while asyncio.get_running_loop().time() < end:
             to = self.boxes.controls[n % len(self.boxes.controls)].control
             n += 1
+            self.record("operator PUT /config version", it["Version"], "to", to)
             reply = await ask(to_pair(to), "PUT", "/config", to,
                               json.dumps(it).encode(), 1.0)
             if reply is not None and reply.status == 200:
@@ -63,7 +66,8 @@
         reply = await ask(
             (entry.ip, FRONT_PORT), method, path, HOST, data, limit,
             [f"X-Kestrelreel-Deadline-Ms: {int(limit * 1000)}"])
-        self.record("client", method, path, "at", entry.name, "->", reply)
+        self.record("client", method, path, data.decode()[:BODY_TOLD], "at",
+                    entry.name, "->", reply)
         return reply
 
     async def submit(self, job, body, patience=20.0):
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -15,7 +15,9 @@
 # An answer that comes later, or holds more, acknowledges nothing.
 ANSWER_LIMIT = 1.0
 ANSWER_BYTES = 4 << 20
-PAUSE_AFTER_FAILURE = 0.1
+# After a failure it turns to another node, after a growing pause.
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 1.0
 RACK_SIZE = 8
 PAUSE_AFTER_END = 0.05
 # So many ends are listed at a time.
@@ -116,6 +118,7 @@
         self.leaves_at = 0.0
         self.up = True
         self.pause = 0.2
+        self.failed_pause = FIRST_PAUSE / 2
         self.has_more = False
 
     def log(self, *words):
@@ -152,7 +155,7 @@
                 continue
             life = self.lives
             sent = time.monotonic()
-            listed = len(self.ended)
+            ended = self.last_end
             to = self.target()
             reply = await ask(to_pair(to), "PUT", f"/instances/{self.id}", to,
                               self.beat(), ANSWER_LIMIT)
@@ -168,13 +171,14 @@
                 self.log("beat", self.sequence, "is not acknowledged by", to)
                 self.told = None
                 self.next_control += 1
-                self.pause = PAUSE_AFTER_FAILURE
+                self.failed_pause = min(2 * self.failed_pause, LONGEST_PAUSE)
+                self.pause = self.failed_pause
             if EAGER and self.has_more and self.ended:
                 self.pause = PAUSE_AFTER_END
             due = time.monotonic() + self.pause
-            while time.monotonic() < due and len(self.ended) <= listed:
+            while time.monotonic() < due and self.last_end == ended:
                 await asyncio.sleep(0.02)
-            if len(self.ended) > listed:
+            if self.last_end > ended:
                 await asyncio.sleep(PAUSE_AFTER_END)
 
     async def work(self):
@@ -195,6 +199,7 @@
 
     def take(self, answer, sent):
         self.pause = answer.get("BackoffMs", 200) / 1000
+        self.failed_pause = FIRST_PAUSE / 2
         if "HeartbeatAddr" in answer:
             self.told = answer["HeartbeatAddr"]
         fence = answer.get("FenceToken", 0)
