An ended run whose end a full list left out is no longer taken as not begun

Cause: a heartbeat lists at most 500 ends. The leader took a run in neither list for one that never began, although a full list tells nothing of the runs that it lacks, declared it lost and started its task elsewhere.

The worker was heard 8 to 79 ms before and told no stop, which rules out its lease and the stops of a worker that leaves.

Change: the adapter tells how many ends a heartbeat lists at most, and `presence_of` alone tells what heartbeats say of a run: running, ended, absent, or unknown where the list may be incomplete. Only an absent run is lost. A run that was listed as running and is no longer has ended. Why it works for a leader that heard nothing before: the list says by itself whether it may be incomplete. The same cause in `starts_for` (ended runs were ordered again with each answer) and `examine_crash` (they were blamed for a crash). A start that was lost on its way is ordered again 1.5 s after the last order though the lists stay full.

--- a/fleet/controller-ends.cc
+++ b/fleet/controller-ends.cc
@@ -68,6 +68,7 @@
       .with("first", report.ends(0).number())
       .with("last", it.last_end_proposed)
       .with("outcomes", detail::count_outcomes(report))
+      .with("more", may_omit_ends(it.beat) ? "maybe" : "no")
       .with("timely", timely ? "yes" : "no")
       .with("draining", it.beat.draining() ? "yes" : "no");
   add_command(std::move(command));
--- a/fleet/controller-lag.cc
+++ b/fleet/controller-lag.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "fleet/controller.h"
+#include "fleet/run-presence.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -52,7 +53,7 @@
   order_backlog out;
   for (const auto& [id, it] : workers_.views()) {
     for (const run_key& run : book_.runs_on(id)) {
-      if (it.rows.contains(run) || lists_end(it, run)) continue;
+      if (has_begun(it, run)) continue;
       const bool sent = it.starts_sent_at.contains(run);
       ++(sent ? out.unlisted : out.unsent);
       if (!sent && is_long_running(run)) ++out.unsent_long_running;
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -6,6 +6,7 @@
 
 #include "base/text.h"
 #include "fleet/controller.h"
+#include "fleet/run-presence.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -33,14 +34,6 @@
 
 }  // namespace detail
 
-bool fleet_controller::lists_end(const worker_view& it,
-                                 const run_key& run) const {
-  const auto& ended = it.beat.ended();
-  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
-    return to_key(end.task()) == run.task && run_number(end.run()) == run.run;
-  });
-}
-
 /// True when the run should no longer be alive.
 bool fleet_controller::should_stop(const run_key& run) const {
   const task_entry* task = book_.find(run.task);
@@ -103,13 +96,12 @@
   return true;
 }
 
-/// True while the book has a run there that the worker does not list: the
+/// True while the book has a run there that the worker may not have begun: the
 /// answer with its order may have come too late.
 bool fleet_controller::awaits_start(const worker_view& it) const {
   const auto& runs = book_.runs_on(it.id);
-  return std::any_of(runs.begin(), runs.end(), [&](const run_key& run) {
-    return !it.rows.contains(run) && !lists_end(it, run);
-  });
+  return std::any_of(runs.begin(), runs.end(),
+                     [&](const run_key& run) { return !has_begun(it, run); });
 }
 
 /// Returns at most one turn's answers, those with the earliest end of lease
@@ -283,8 +275,27 @@
   it.lists_unrecorded = has_unrecorded;
 }
 
-/// The starts for an answer given now: recorded runs that the worker does not
-/// list yet.
+/// When the start of the run was last sent, by this leader or an earlier one.
+time_point fleet_controller::last_order_of(const worker_view& it,
+                                           const run_key& run) const {
+  const auto sent = it.starts_sent_at.find(run);
+  return std::max(led_since_, sent == it.starts_sent_at.end() ? time_point{}
+                                                              : sent->second);
+}
+
+/// True when the worker lacks the order to start the run. A run that may have
+/// ended is ordered again only once the last order must have arrived: the
+/// worker refuses to start it again, and lists that as one more end.
+bool fleet_controller::lacks_order(const worker_view& it,
+                                   const run_key& run) const {
+  const run_presence presence = presence_of(it, run);
+  if (presence != run_presence::unknown)
+    return presence == run_presence::absent;
+  return it.unsent_starts.contains(run) ||
+         clock_.now() - last_order_of(it, run) > order_arrival_limit();
+}
+
+/// The starts for an answer given now.
 std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // None of the runs may begin while some of them are being declared lost.
   if (!accepts_starts(it) || pending_losses_.contains(it.id)) return {};
@@ -295,14 +306,14 @@
   if (is_overcommitted(it)) return {};
   std::vector<run_key> out;
   for (const run_key& run : book_.runs_on(it.id)) {
-    const bool ended = lists_end(it, run) || should_stop(run) ||
-                       pending_successes_.contains(run.task);
-    if (!ended && !it.rows.contains(run)) out.push_back(run);
+    const bool ended =
+        should_stop(run) || pending_successes_.contains(run.task);
+    if (!ended && lacks_order(it, run)) out.push_back(run);
   }
   return out;
 }
 
-/// A start is sent again with each answer until the worker lists the run.
+/// A start is sent again until the worker lists the run.
 void fleet_controller::add_starts(worker_view& it,
                                   fleet::worker_orders& orders) {
   for (const run_key& run : starts_for(it)) {
@@ -333,7 +344,7 @@
   for (const run_key& run : book_.runs_on(it.id)) {
     const bool must_stop =
         (vacates && !is_long_running(run)) || should_stop(run);
-    if (must_stop && !lists_end(it, run)) add(run);
+    if (must_stop && presence_of(it, run) != run_presence::ended) add(run);
   }
   // Unrecorded runs were declared lost before.
   for (const auto& [run, row] : it.rows) {
--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fleet/controller.h"
+#include "fleet/run-presence.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -96,10 +97,12 @@
       return "the worker left, long-running tasks";
     case loss_cause::unsent:
       return "start never sent";
+    case loss_cause::unstarted:
+      return "run never began";
     case loss_cause::lease:
       break;
   }
-  return "lease ended or run never began";
+  return "lease ended";
 }
 
 void fleet_controller::propose_loss(worker_view& it,
@@ -108,8 +111,10 @@
   fleet::fleet_command command;
   fleet::worker_loss& loss = *command.mutable_loss();
   loss.set_worker(it.id.str());
-  loss.set_gone(cause != loss_cause::lease && cause != loss_cause::unsent &&
-                cause != loss_cause::left_serving);
+  const bool some_runs_only =
+      cause == loss_cause::lease || cause == loss_cause::unstarted ||
+      cause == loss_cause::unsent || cause == loss_cause::left_serving;
+  loss.set_gone(!some_runs_only);
   loss.set_over(cause == loss_cause::replaced ||
                 cause == loss_cause::restarted || cause == loss_cause::left);
   loss.set_silent(cause == loss_cause::lease && !it.lapsed.empty());
@@ -145,8 +150,8 @@
     const worker_view& it, const std::vector<run_key>& runs) const {
   std::vector<run_key> out;
   for (const run_key& run : runs) {
-    const bool listed = it.rows.contains(run) || lists_end(it, run);
-    if (it.starts_sent_at.contains(run) && !listed) out.push_back(run);
+    if (it.starts_sent_at.contains(run) && !has_begun(it, run))
+      out.push_back(run);
   }
   return out;
 }
@@ -307,28 +312,28 @@
   });
 }
 
-/// Declares runs lost that must not start any more and that their worker does
-/// not list long after the last order. The first heartbeats that a leader gets
+/// How long after an order, if it was not lost, the worker lists its run.
+milliseconds fleet_controller::order_arrival_limit() const {
+  return workers_.leases().answer_limit + detail::order_margin;
+}
+
+/// Declares runs lost that must not start any more and that their worker has
+/// not begun long after the last order. The first heartbeats that a leader gets
 /// may date from before its leadership: their age is unknown until the worker
 /// is known to get this leader's answers.
 void fleet_controller::review_unstarted(worker_view& it) {
   if (!it.got_answer || pending_losses_.contains(it.id)) return;
-  const milliseconds min_age =
-      workers_.leases().answer_limit + detail::order_margin;
   const bool can_start = accepts_starts(it) && !is_overcommitted(it);
   std::vector<run_key> lost;
   for (const run_key& run : book_.runs_on(it.id)) {
-    if (it.rows.contains(run) || lists_end(it, run)) continue;
+    if (presence_of(it, run) != run_presence::absent) continue;
     if (can_start && !should_stop(run)) continue;
-    const auto sent = it.starts_sent_at.find(run);
-    const time_point last =
-        std::max(led_since_,
-                 sent == it.starts_sent_at.end() ? time_point{} : sent->second);
     // A run missing from a delayed heartbeat may have begun since.
-    if (it.last_timely_heartbeat_at - it.delay - last > min_age)
+    const time_point sent_at = it.last_timely_heartbeat_at - it.delay;
+    if (sent_at - last_order_of(it, run) > order_arrival_limit())
       lost.push_back(run);
   }
-  if (!lost.empty()) propose_loss(it, lost, loss_cause::lease);
+  if (!lost.empty()) propose_loss(it, lost, loss_cause::unstarted);
 }
 
 /// Withdraws starts that waited too long to be sent, or need not be sent any
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -258,7 +258,8 @@
   bool must_vacate(const worker_view& it) const;
   void record_vacated(worker_view& it);
   bool is_long_running(const run_key& run) const;
-  bool lists_end(const worker_view& it, const run_key& run) const;
+  time_point last_order_of(const worker_view& it, const run_key& run) const;
+  bool lacks_order(const worker_view& it, const run_key& run) const;
 
   // The leader's lag: controller-lag.cc.
   struct order_backlog {
@@ -286,6 +287,7 @@
   enum class loss_cause {
     lease,
     unsent,
+    unstarted,
     silent,
     replaced,
     restarted,
@@ -323,6 +325,7 @@
   bool defers_losses() const;
   milliseconds loss_grace() const;
   void review_silence();
+  milliseconds order_arrival_limit() const;
   void review_all_unstarted();
   void review_unstarted(worker_view& it);
   void review_unsent();
--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fleet/run-presence.h"
+
 namespace kestrelreel {
 namespace detail {
 
@@ -13,13 +15,6 @@
          a.task.time == b.task.time && a.task.step == b.task.step;
 }
 
-bool lists_end(const worker_view& it, const run_key& run) {
-  const auto& ended = it.beat.ended();
-  return std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
-    return to_key(end.task()) == run.task && run_number(end.run()) == run.run;
-  });
-}
-
 /// The evidence against each run that may have crashed the worker.
 uint32_t evidence_against(const std::vector<run_key>& suspects,
                           const job_book& book, bool others_crashed) {
@@ -87,7 +82,8 @@
   std::vector<run_key> just_listed;
   for (const run_key& run : runs) {
     const fleet::step_spec* step = book.find_step(run.task);
-    if (step == nullptr || detail::lists_end(it, run)) continue;
+    const bool ended = presence_of(it, run) == run_presence::ended;
+    if (step == nullptr || ended) continue;
     if (is_harmless(it, run, *step)) {
       out.push_back({run, 0, true});
     } else if (it.rows.contains(run)) {
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -1,6 +1,7 @@
 #include "fleet/worker-table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/text.h"
 #include "fleet/beat-order.h"
@@ -235,10 +236,14 @@
                                const fleet::worker_beat& beat) {
   it.beat = beat;
   it.beat.clear_running();
-  it.rows.clear();
+  const auto before = std::exchange(it.rows, {});
   for (const fleet::running_row& row : beat.running()) {
     it.rows[{to_key(row.task()), run_number(row.run())}] = row;
   }
+  if (!may_omit_ends(beat)) return;
+  for (const auto& [run, row] : before) {
+    if (!it.rows.contains(run)) it.unlisted_ends.insert(run);
+  }
 }
 
 /// Applies a difference. Returns false when the readings do not match the known
@@ -246,7 +251,8 @@
 bool worker_table::apply_difference(worker_view& it,
                                     const fleet::worker_beat& beat) {
   for (const fleet::run_name& gone : beat.gone()) {
-    it.rows.erase({to_key(gone.task()), run_number(gone.run())});
+    const run_key run{to_key(gone.task()), run_number(gone.run())};
+    if (it.rows.erase(run) > 0) it.unlisted_ends.insert(run);
   }
   for (const fleet::running_row& row : beat.running()) {
     it.rows[{to_key(row.task()), run_number(row.run())}] = row;
@@ -271,6 +277,16 @@
   return true;
 }
 
+/// An incomplete list leaves out the latest ends.
+void worker_table::update_ends(worker_view& it) {
+  it.listed_ends.clear();
+  for (const fleet::run_end& end : it.beat.ended()) {
+    it.listed_ends.insert({to_key(end.task()), run_number(end.run())});
+  }
+  if (!may_omit_ends(it.beat)) return it.unlisted_ends.clear();
+  for (const run_key& run : it.listed_ends) it.unlisted_ends.erase(run);
+}
+
 worker_table::arrival worker_table::receive_heartbeat(
     const fleet::worker_beat& beat) {
   const worker_id id = incarnation_of(beat);
@@ -301,6 +317,7 @@
     it.beat.set_sequence(beat.sequence() - 1);
     return {nullptr, false, true};
   }
+  update_ends(it);
   if (!it.has_heartbeat) {
     it.first_heartbeat_at = now;
     it.first_clock_ms = beat.clock_ms();
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -87,6 +87,12 @@
   uint32_t percent = 0;
 };
 
+/// True when the worker may have ended more runs than the heartbeat lists.
+inline bool may_omit_ends(const fleet::worker_beat& beat) {
+  const auto listed = static_cast<uint32_t>(beat.ended_size());
+  return beat.max_ended() > 0 && listed >= beat.max_ended();
+}
+
 /// One incarnation of a worker.
 struct worker_view {
   worker_id id;
@@ -123,6 +129,11 @@
   bool superseded = false;
   /// The runs that the last heartbeat listed.
   std::map<run_key, fleet::running_row> rows;
+  /// The runs whose end the last heartbeat listed, and those that have ended
+  /// since they were listed as running, without room for their end in an
+  /// incomplete list.
+  std::set<run_key> listed_ends;
+  std::set<run_key> unlisted_ends;
   /// Progress of the runs that have an end, if run times are learned.
   std::map<run_key, run_state> run_states;
   /// When the start order of a run was last sent.
@@ -297,6 +308,7 @@
   bool is_timely(worker_view& it, const fleet::worker_beat& beat) const;
   static void apply_whole(worker_view& it, const fleet::worker_beat& beat);
   static bool apply_difference(worker_view& it, const fleet::worker_beat& beat);
+  static void update_ends(worker_view& it);
   worker_view& find_or_add(const worker_id& id);
   void drop(worker_view& it);
   void update_place(worker_view& it, const fleet::worker_beat& beat);
