A gang is not given up for crashes of workers under different members

Cause: the evidence of crashes was kept for the gang as a whole, with its first task. A gang with members on all workers is hit by every crash of anything.

No run had ended `failed`, so that attempts have no part in it.

Change: each member has a record of its own, and only a member under which a worker crashed is a suspect. A good end of the gang clears all of them. Why it works: what is given up now is a task under which two workers have crashed at least.

The other members are placed like any task. A worker that a suspect member had just been placed on kept its old rank, and another member went there beyond its capacity, so that its starts were withdrawn and the gang ran in part; such a worker is ranked anew and comes last.

Tests: innocent_crash.gang_fails_for_crashes_under_different_members (five rows), crash_record.gang_fails_for_crashes_under_different_members and first_member_is_blamed_for_the_gang_of_an_older_state failed before and pass.

--- a/fleet/controller-crashes.cc
+++ b/fleet/controller-crashes.cc
@@ -108,8 +108,7 @@
   for (const run_key& run : starts_for(it)) {
     if (order_is_recorded(run)) continue;
     recorded = false;
-    record_progress({book_.crash_record_key(run.task), run.run}, it.id,
-                    fleet::run_ordered);
+    record_progress(run, it.id, fleet::run_ordered);
   }
   return recorded;
 }
--- a/fleet/crash-evidence.cc
+++ b/fleet/crash-evidence.cc
@@ -7,7 +7,7 @@
 namespace kestrelreel {
 namespace detail {
 
-/// Runs of one gang count as one suspect.
+/// Runs of one gang count as one suspect: their job fails with any of them.
 bool same_suspect(const run_key& a, const run_key& b, const job_book& book) {
   if (a == b) return true;
   const fleet::step_spec* step = book.find_step(a.task);
--- a/fleet/crash-record-test.cc
+++ b/fleet/crash-record-test.cc
@@ -37,12 +37,13 @@
     place.set_address(it.worker() + ":1");
     apply(command);
   }
-  void crash(uint32_t run, uint32_t evidence, bool survived = false) {
+  void crash(uint32_t run, uint32_t evidence, bool survived = false,
+             uint32_t index = 0) {
     fleet::fleet_command command;
     command.mutable_loss()->set_worker("w" + std::to_string(run));
     command.mutable_loss()->set_gone(true);
     fleet::run_loss& it = *command.mutable_loss()->add_runs();
-    *it.mutable_task() = task(0);
+    *it.mutable_task() = task(index);
     it.set_run(run);
     it.set_crash_evidence(evidence);
     it.set_survived(survived);
@@ -59,8 +60,12 @@
     apply(command);
   }
   fleet::job_phase phase() const { return book.find(job_number(7))->phase; }
-  uint32_t evidence() const {
-    return book.crash_of({job_number(7), 0, 0, 0}).evidence;
+  uint32_t evidence(uint32_t index = 0) const {
+    return book.crash_of({job_number(7), 0, 0, index}).evidence;
+  }
+  void start_gang(uint32_t run) {
+    start(run, 0);
+    start(run, 1);
   }
 };
 
@@ -165,3 +170,45 @@
   crash(7, 4);
   LONGS_EQUAL(fleet::job_failed, phase());
 }
+
+// Crashes of different workers, each under another member, failed the job.
+TEST(crash_record, gang_fails_for_crashes_under_different_members) {
+  prepare(true);
+  start_gang(1);
+  crash(1, 4);
+  start_gang(2);
+  crash(2, 4, false, 1);
+  LONGS_EQUAL(fleet::job_running, phase());
+  LONGS_EQUAL(4, evidence(0));
+  LONGS_EQUAL(4, evidence(1));
+  start_gang(3);
+  crash(3, 4, false, 1);
+  LONGS_EQUAL(fleet::job_failed, phase());
+}
+
+TEST(crash_record, successful_gang_leaves_no_suspects) {
+  prepare(true);
+  start_gang(1);
+  crash(1, 4, false, 1);
+  LONGS_EQUAL(1, book.suspects().size());
+  start_gang(2);
+  end(2, fleet::run_done);
+  LONGS_EQUAL(fleet::job_succeeded, phase());
+  CHECK_TRUE(book.suspects().empty());
+}
+
+// An older version kept all crashes of a gang with its first member.
+TEST(crash_record, first_member_is_blamed_for_the_gang_of_an_older_state) {
+  prepare(true);
+  start_gang(1);
+  crash(1, 4);
+  fleet::fleet_snapshot saved;
+  CHECK_TRUE(saved.ParseFromString(book.save()));
+  saved.clear_crashes_by_member();
+  CHECK_TRUE(book.load(saved.SerializeAsString()).ok());
+  CHECK_TRUE(book.suspects().empty());
+  start_gang(2);
+  crash(2, 4);
+  LONGS_EQUAL(fleet::job_running, phase());
+  LONGS_EQUAL(4, evidence());
+}
--- a/fleet/crashing-issuer-test.cc
+++ b/fleet/crashing-issuer-test.cc
@@ -24,6 +24,7 @@
   const char* name;
   bool is_long_running;
   crash_settings settings;
+  bool is_gang = false;
 };
 
 crash_settings make_issuer_failures(int leaders, int64_t after_ms,
@@ -76,6 +77,21 @@
   add("same id").keeps_id = true;
   add("saved and loaded").reloads = true;
   add("returns after its lease").restart_delay = milliseconds(9'000);
+  const auto add_gang = [&](const char* name, const crash_settings& settings) {
+    out.push_back({name, false, settings, true});
+  };
+  add_gang("gang", make_issuer_failures(1, 10, 10));
+  add_gang("gang, three leaders", make_issuer_failures(3, 10, 10));
+  add_gang("gang, three leaders before the crash",
+           make_issuer_failures(3, 10, 300));
+  add_gang("gang, with each start", make_issuer_failures(9, 10, 10));
+  add_gang("gang, with each start, before the crash",
+           make_issuer_failures(9, 10, 300));
+  add_gang("gang, at once with each start", make_issuer_failures(9, 0, 10));
+  add_gang("gang, after each start is committed",
+           make_issuer_failures(9, 400, 10));
+  add_gang("gang, while each worker is silent",
+           make_issuer_failures(9, 1'000, 10));
   return out;
 }
 
@@ -90,9 +106,11 @@
     world.submit(long_running_job, {crash_world::make_step(6, true)});
     world.run_for(milliseconds(1'000));
     for (uint64_t n = 0; n < jobs; ++n) {
-      if (n == 3)
-        world.submit(crashing_job,
-                     {crash_world::make_step(3, it.is_long_running)});
+      if (n == 3) {
+        fleet::step_spec step = crash_world::make_step(3, it.is_long_running);
+        step.set_gang(it.is_gang);
+        world.submit(crashing_job, {step});
+      }
       world.submit(first_job + n, {crash_world::make_step(2)});
       world.run_for(milliseconds(400));
     }
--- a/fleet/crashing-task-test.cc
+++ b/fleet/crashing-task-test.cc
@@ -60,6 +60,20 @@
       .leader_change_delay = milliseconds(1'000);
   add("leader changes later", "long-running", max_crashes + 2)
       .leader_change_delay = milliseconds(4'700);
+  constexpr int tolerated = max_crashes + max_late_starts;
+  add("gang, same id", "gang", tolerated).keeps_id = true;
+  add("gang, through another box", "gang", tolerated).route =
+      heartbeat_route::intake;
+  add("gang, two members on one worker", "gang", tolerated).workers = 2;
+  add("gang, listed once before the crash", "gang", tolerated).crash_delay =
+      milliseconds(300);
+  add("gang, returns after its lease", "gang", tolerated).restart_delay =
+      milliseconds(9'000);
+  add("gang, saved and loaded", "gang", tolerated).reloads = true;
+  add("gang, leader changes after a crash", "gang", tolerated)
+      .leader_change_delay = milliseconds(1'000);
+  add("gang, leader changes later", "gang", tolerated).leader_change_delay =
+      milliseconds(4'700);
   return out;
 }
 
--- a/fleet/crashing-test-world.h
+++ b/fleet/crashing-test-world.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/text.h"
@@ -51,6 +53,8 @@
   int failing_issuers = 0;
   /// The leader's state is saved and loaded after each crash.
   bool reloads = false;
+  /// Time from the start of a run until it is done.
+  milliseconds work_time{600};
 };
 
 /// Simulates workers that carry out their orders. A worker that starts a
@@ -73,6 +77,8 @@
   /// Number of crashes by tasks, and of starts after a task's third crash.
   int crashed = 0;
   int late_starts = 0;
+  /// Starts on a worker without the processors for them.
+  int misfits = 0;
 
   static fleet::step_spec make_step(uint32_t count,
                                     bool is_long_running = false) {
@@ -113,7 +119,8 @@
   /// Crashes a worker, independently of its tasks.
   void crash(size_t worker) {
     worker_slot& it = workers_[worker];
-    it.current.reset();
+    const auto lost = std::exchange(it.current, std::nullopt)->start_times;
+    for (const auto& [run, started] : lost) break_gang(run);
     it.returns_at = all.clock.now() + settings_.restart_delay;
     if (settings_.leader_change_delay.count() > 0) {
       leader_changes_at_ = all.clock.now() + settings_.leader_change_delay;
@@ -147,13 +154,20 @@
     }
     return n;
   }
+  /// Returns the tasks that the worker lists.
+  std::set<task_key> tasks_on(size_t worker) const {
+    std::set<task_key> out;
+    if (!is_up(worker)) return out;
+    for (const auto& row : workers_[worker].current->beat.running())
+      out.insert(to_key(row.task()));
+    return out;
+  }
   bool is_up(size_t worker) const {
     return workers_[worker].current.has_value();
   }
   size_t size() const { return workers_.size(); }
 
  private:
-  static constexpr milliseconds work_time{600};
   struct incarnation {
     fleet::worker_beat beat;
     time_point started_at{};
@@ -218,7 +232,7 @@
       const bool is_long_running = step != nullptr && step->long_running();
       if (now >= it.lease_until) {
         due.emplace_back(run, fleet::run_lapsed);
-      } else if (!is_long_running && now - started >= work_time &&
+      } else if (!is_long_running && now - started >= settings_.work_time &&
                  !it.crashes_at) {
         due.emplace_back(
             run, gang_breaks(run.task) ? fleet::run_broken : fleet::run_done);
@@ -238,6 +252,21 @@
     return false;
   }
 
+  /// Ends what other workers run of the gang.
+  void break_gang(const run_key& run) {
+    const fleet::step_spec* step = all.book().find_step(run.task);
+    if (step == nullptr || !step->gang()) return;
+    for (worker_slot& it : workers_) {
+      if (!it.current) continue;
+      run_key member = run;
+      for (member.task.index = 0; member.task.index < step->count();
+           ++member.task.index) {
+        if (it.current->start_times.contains(member))
+          end(*it.current, member, fleet::run_broken);
+      }
+    }
+  }
+
   static void end(incarnation& it, const run_key& run,
                   fleet::run_outcome outcome) {
     it.start_times.erase(run);
@@ -290,6 +319,7 @@
     *row.mutable_task() = start.task();
     row.set_run(start.run());
     ++starts[run.task];
+    if (!fits(it)) ++misfits;
     if (!crashes(run.task)) return;
     if (failed_issuers_ < settings_.failing_issuers) {
       ++failed_issuers_;
@@ -302,6 +332,15 @@
     it.crashes_at = all.clock.now() + settings_.crash_delay;
   }
 
+  bool fits(const incarnation& it) {
+    uint64_t used = 0;
+    for (const auto& [run, started] : it.start_times) {
+      const fleet::step_spec* step = all.book().find_step(run.task);
+      if (step != nullptr && !step->fills()) used += step->cpu_milli();
+    }
+    return used <= it.beat.cpu_milli();
+  }
+
   void change_leader_if_due() {
     if (!leader_changes_at_ || all.clock.now() < *leader_changes_at_) return;
     leader_changes_at_.reset();
--- a/fleet/innocent-crash-test.cc
+++ b/fleet/innocent-crash-test.cc
@@ -2,12 +2,15 @@
 // ran.
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "fleet/crash-evidence.h"
 #include "fleet/crashing-test-world.h"
 
 using namespace kestrelreel;
 using crashing::crash_settings;
 using crashing::crash_world;
+using crashing::heartbeat_interval;
 using crashing::heartbeat_route;
 
 namespace {
@@ -214,3 +217,57 @@
   }
   LONGS_EQUAL(fleet::job_succeeded, world.phase_of(first_job));
 }
+
+namespace {
+
+/// A worker that is up and whose tasks are none of `before`.
+size_t find_other(const crash_world& world, const std::set<task_key>& before) {
+  size_t i = 0;
+  for (; i < world.size(); ++i) {
+    const std::set<task_key> tasks = world.tasks_on(i);
+    const bool is_other =
+        std::none_of(tasks.begin(), tasks.end(),
+                     [&](const auto& it) { return before.contains(it); });
+    if (!tasks.empty() && is_other) break;
+  }
+  return i;
+}
+
+}  // namespace
+
+// A gang's job failed after three crashes, each of a worker under another
+// member.
+TEST(innocent_crash, gang_fails_for_crashes_under_different_members) {
+  constexpr uint32_t members = 6;
+  constexpr int crashes = 4;
+  for (const row& it : rows()) {
+    if (it.disrupt != crash_one && it.disrupt != crash_every_third) continue;
+    crash_settings settings = it.settings;
+    settings.workers = members;
+    settings.work_time = milliseconds(6'500);
+    settings.reloads = it.disrupt == crash_one;
+    crash_world world(settings);
+    world.run_for(milliseconds(1'000));
+    fleet::step_spec step = crash_world::make_step(members);
+    step.set_cpu_milli(2'500);
+    step.set_gang(true);
+    world.submit(first_job, {step});
+    std::set<task_key> hit;
+    for (int n = 0; n < crashes; ++n) {
+      for (milliseconds at{0}; at < quiet_period; at += heartbeat_interval) {
+        if (world.runs_of(first_job) == static_cast<int>(members)) break;
+        world.run_for(heartbeat_interval);
+      }
+      LONGS_EQUAL_TEXT(fleet::job_running, world.phase_of(first_job), it.name);
+      world.run_for(milliseconds(2'000));
+      const size_t worker = find_other(world, hit);
+      CHECK_TRUE_TEXT(worker < world.size(), it.name);
+      hit.merge(world.tasks_on(worker));
+      world.crash(worker);
+    }
+    world.run_until(first_job, fleet::job_succeeded, quiet_period);
+    LONGS_EQUAL_TEXT(fleet::job_succeeded, world.phase_of(first_job), it.name);
+    CHECK_TRUE_TEXT(world.all.book().suspects().empty(), it.name);
+    LONGS_EQUAL_TEXT(0, world.misfits, it.name);
+  }
+}
--- a/fleet/job-book-crashes.cc
+++ b/fleet/job-book-crashes.cc
@@ -5,15 +5,9 @@
 
 namespace kestrelreel {
 
-task_key job_book::crash_record_key(const task_key& task) const {
-  const fleet::step_spec* step = find_step(task);
-  const bool gang = step != nullptr && step->gang();
-  return gang ? task_key{task.job, task.time, task.step, 0} : task;
-}
-
 crash_record job_book::crash_of(const task_key& task) const {
   if (suspects_.empty()) return {};
-  const task_entry* it = find(crash_record_key(task));
+  const task_entry* it = find(task);
   return it == nullptr ? crash_record() : it->crash;
 }
 
@@ -24,7 +18,7 @@
 void job_book::record_sighting(const fleet::run_sighting& it) {
   const run_key run{to_key(it.task()), run_number(it.run())};
   if (it.progress() == fleet::run_harmless) return clear_crashes(run);
-  task_entry* task = find_task(crash_record_key(run.task));
+  task_entry* task = find_task(run.task);
   if (task == nullptr || task->crash.crashes == 0) return;
   crash_record& crash = task->crash;
   crash.ordered = std::max(crash.ordered, run.run);
@@ -34,28 +28,26 @@
 }
 
 void job_book::clear_crashes(const run_key& run) {
-  const task_key key = crash_record_key(run.task);
-  task_entry* task = find_task(key);
+  task_entry* task = find_task(run.task);
   if (task == nullptr || run.run <= task->crash.run) return;
   task->crash = {};
-  suspects_.erase(key);
+  suspects_.erase(run.task);
 }
 
 /// A crash may be detected only after the run was declared lost and another
 /// one started.
 void job_book::count_crash(const run_key& run, uint32_t evidence, result& out) {
-  const task_key key = crash_record_key(run.task);
-  task_entry* task = find_task(key);
+  task_entry* task = find_task(run.task);
   if (task == nullptr || task->phase == task_phase::done) return;
   crash_record& crash = task->crash;
   if (run.run <= crash.run || run.run > task->run) return;
   ++crash.crashes;
   crash.evidence += evidence;
   crash.run = run.run;
-  suspects_.insert(key);
+  suspects_.insert(run.task);
   if (crash.evidence < crash_evidence_limit) return;
   out.crashing.push_back({run.task, crash});
-  finish(jobs_.at(key.job), fleet::job_failed);
+  finish(jobs_.at(run.task.job), fleet::job_failed);
 }
 
 }  // namespace kestrelreel
--- a/fleet/job-book-save.cc
+++ b/fleet/job-book-save.cc
@@ -75,6 +75,24 @@
   if (task.phase == task_phase::running) ++step.running;
 }
 
+/// An older version kept the crashes under all members of a gang as those of
+/// its first task: which members they were under is unknown.
+void forget_gang_crashes(fleet::fleet_snapshot& in) {
+  for (fleet::saved_job& job : *in.mutable_jobs()) {
+    for (fleet::saved_step& step : *job.mutable_steps()) {
+      const auto n = static_cast<int>(step.step());
+      if (n >= job.spec().steps_size() || !job.spec().steps(n).gang()) continue;
+      for (fleet::saved_task& it : *step.mutable_tasks()) {
+        it.clear_crashes();
+        it.clear_crash_evidence();
+        it.clear_crashed_run();
+        it.clear_ordered_run();
+        it.clear_listed_run();
+      }
+    }
+  }
+}
+
 }  // namespace detail
 
 fleet::saved_job job_book::save_job(const job_entry& job) const {
@@ -137,6 +155,7 @@
   for (const auto& [worker, place] : places_) *out.add_places() = place;
   evacuations_.save(out);
   out.set_next_order(next_order_);
+  out.set_crashes_by_member(true);
   return out.SerializeAsString();
 }
 
@@ -207,6 +226,7 @@
   if (!in.ParseFromString(bytes)) {
     return absl::DataLossError("the saved state can't be parsed");
   }
+  if (!in.crashes_by_member()) detail::forget_gang_crashes(in);
   job_book loaded;
   const absl::Status status = loaded.load_state(in);
   if (status.ok()) *this = std::move(loaded);
--- a/fleet/job-book.cc
+++ b/fleet/job-book.cc
@@ -268,11 +268,13 @@
   }
   if (spec.gang()) save_gang_checkpoint(step, run.run, saved);
   if (outcome != fleet::run_done || spec.long_running()) return true;
-  mark_done(step, *task);
+  mark_done(step, run.task);
   // A successful end of one member completes the whole gang, of which a later
   // run may have been started.
-  for (task_entry& it : step.tasks) {
-    if (spec.gang()) mark_done(step, it);
+  task_key member = run.task;
+  for (member.index = 0; spec.gang() && member.index < spec.count();
+       ++member.index) {
+    mark_done(step, member);
   }
   finish_if_done(job);
   return true;
@@ -297,11 +299,13 @@
   }
 }
 
-void job_book::mark_done(step_entry& step, task_entry& task) {
+void job_book::mark_done(step_entry& step, const task_key& key) {
+  task_entry& task = step.tasks[key.index];
   if (task.phase == task_phase::done) return;
   if (task.phase == task_phase::running) --step.running;
   task.phase = task_phase::done;
   task.crash = {};
+  suspects_.erase(key);
   ++step.done;
 }
 
--- a/fleet/job-book.h
+++ b/fleet/job-book.h
@@ -41,7 +41,8 @@
   /// The newest recorded checkpoint; empty without one.
   std::string saved;
   /// Covers all runs since the last one that did not end with a crash of its
-  /// worker. A gang starts and ends together: its first task holds the record.
+  /// worker. A member of a gang answers for the crashes of its own workers
+  /// only.
   crash_record crash;
 };
 
@@ -144,16 +145,11 @@
   const std::set<worker_id>& left() const { return left_; }
   /// Data centres in which no task may start.
   const evacuations& evacuated() const { return evacuations_; }
-  /// Tasks, and gangs by their first task, whose worker crashed and of which no
-  /// later run has been found not to crash its worker.
+  /// Tasks whose worker crashed and of which no later run has been found not to
+  /// crash its worker.
   const std::set<task_key>& suspects() const { return suspects_; }
-  /// True for a suspect task or a member of a suspect gang, which is started
-  /// separately from other tasks.
+  /// True for a suspect, which is started separately from other tasks.
   bool is_suspect(const task_key& task) const;
-  /// The task that holds the crash record: the first one of a gang, else the
-  /// task itself.
-  task_key crash_record_key(const task_key& task) const;
-  /// The crash record of the task or its gang.
   crash_record crash_of(const task_key& task) const;
   /// Runs that were declared lost when their worker fell silent, by worker,
   /// until the worker is heard from again.
@@ -191,7 +187,7 @@
                  fleet::run_outcome outcome, const std::string& saved);
   bool counts_late(const run_key& run, fleet::run_outcome outcome,
                    const task_entry& task) const;
-  static void mark_done(step_entry& step, task_entry& task);
+  void mark_done(step_entry& step, const task_key& key);
   void count_failure(job_entry& job, step_entry& step, task_entry& task,
                      const fleet::step_spec& spec);
   static void save_gang_checkpoint(step_entry& step, run_number run,
--- a/fleet/placing.cc
+++ b/fleet/placing.cc
@@ -31,14 +31,19 @@
   return ranking(std::less<ranked>(), std::move(values));
 }
 
-/// Removes the best worker; the caller re-inserts it after placing a task.
+/// Removes the best worker; the caller re-inserts it after placing a task. The
+/// rank of a worker that a suspect was placed on since is outdated.
 std::optional<size_t> fleet_scheduler::take_best(
     ranking& best, const pending_step& step,
-    const std::vector<worker_view*>& all) {
+    const std::vector<worker_view*>& all) const {
   while (!best.empty()) {
-    const auto at = static_cast<size_t>(-best.top().second);
+    const auto [value, position] = best.top();
     best.pop();
-    if (!is_testing(*all[at], step)) return at;
+    const auto at = static_cast<size_t>(-position);
+    if (!all[at]->trial_step) return at;
+    const auto beside = score_beside_suspect(step, *all[at]);
+    if (beside && value <= *beside) return at;
+    if (beside) best.emplace(*beside, position);
   }
   return std::nullopt;
 }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -219,9 +219,8 @@
   using ranked = std::pair<double, std::ptrdiff_t>;
   using ranking = std::priority_queue<ranked>;
   ranking rank(const pending_step& step, const std::vector<worker_view*>& all);
-  static std::optional<size_t> take_best(ranking& best,
-                                         const pending_step& step,
-                                         const std::vector<worker_view*>& all);
+  std::optional<size_t> take_best(ranking& best, const pending_step& step,
+                                  const std::vector<worker_view*>& all) const;
   static run_number last_run(const step_entry& step);
   static std::vector<uint32_t> placement_order(const step_entry& step);
   // Suspects of worker crashes: suspects.cc.
@@ -231,6 +230,8 @@
   bool has_interrupted_tasks(const task_key& first) const;
   bool awaits_evidence(const task_key& key, const task_entry& task) const;
   static bool is_testing(const worker_view& it, const pending_step& step);
+  std::optional<double> score_beside_suspect(const pending_step& step,
+                                             const worker_view& it) const;
   std::optional<double> score_for_suspect(const pending_step& step,
                                           const worker_view& it,
                                           std::optional<double> least) const;
--- a/fleet/suspects.cc
+++ b/fleet/suspects.cc
@@ -41,24 +41,16 @@
   }
   suspect_workers_.clear();
   for (const task_key& suspect : book_.suspects()) {
-    const fleet::step_spec* step = book_.find_step(suspect);
-    if (step == nullptr) continue;
-    const auto& tasks =
-        book_.find(suspect.job)->times[suspect.time][suspect.step].tasks;
-    const uint32_t end = step->gang() ? step->count() : suspect.index + 1;
-    for (uint32_t i = suspect.index; i < end; ++i) {
-      task_key task = suspect;
-      task.index = i;
-      const auto proposed = proposed_.find(task);
-      if (proposed != proposed_.end()) {
-        record_suspect_trial(proposed->second, task);
-      } else if (tasks[i].phase == task_phase::running) {
-        worker_view* it = workers_.find(tasks[i].worker);
-        const run_key run{task, tasks[i].run};
-        if (it != nullptr && !it->rows.contains(run))
-          record_suspect_trial(it->id, task);
-      }
+    const auto proposed = proposed_.find(suspect);
+    if (proposed != proposed_.end()) {
+      record_suspect_trial(proposed->second, suspect);
+      continue;
     }
+    const task_entry* task = book_.find(suspect);
+    if (task == nullptr || task->phase != task_phase::running) continue;
+    const worker_view* it = workers_.find(task->worker);
+    if (it != nullptr && !it->rows.contains({suspect, task->run}))
+      record_suspect_trial(it->id, suspect);
   }
 }
 
@@ -93,6 +85,15 @@
   return it.trial_step && !(step.spec.gang() && *it.trial_step == step.first);
 }
 
+/// The placement value of a worker on which a suspect is being tried; none
+/// where the step's tasks must not run. Only members of the suspect's gang may.
+std::optional<double> fleet_scheduler::score_beside_suspect(
+    const pending_step& step, const worker_view& it) const {
+  auto value = score_if_allowed(step, it);
+  if (value) *value -= detail::unproven_task_cost;
+  return value;
+}
+
 /// The placement value of a worker for a suspect; none where the suspect must
 /// not run, or where the value does not exceed `least`.
 std::optional<double> fleet_scheduler::score_for_suspect(
@@ -103,9 +104,8 @@
   *value -= detail::running_task_cost * static_cast<double>(it.rows.size());
   // The worker's runs are examined only where they can change the result.
   if (least && *value <= *least) return std::nullopt;
-  if (has_unproven_run(it) && it.trial_step != step.first) {
+  if (it.trial_step || has_unproven_run(it))
     *value -= detail::unproven_task_cost;
-  }
   if (least && *value <= *least) return std::nullopt;
   return value;
 }
