Runs on a worker that leaves are stopped in time for all of its lists of ends

What callers see: work that was done or saved on a worker that leaves is done again elsewhere, where the worker has more ends than one heartbeat lists.

Cause: runs were stopped two heartbeats and one wait for the log before the worker goes, which is the time for one list of ends.

Change: for each further list that the worker's runs take there is a heartbeat and a wait for the log more. A worker with fewer runs than a list holds is treated as before.

Test: incomplete_ends.ends_remain_unreported_when_the_worker_goes; without the change 7 of 12 ends were unreported when the worker went, lists of one end. With it none, for lists of 1, 2, 5, 12 and 20.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -44,15 +44,21 @@
 /// A worker reports an end in its next heartbeat. If the worker leaves before
 /// that, the task is started again although it is done. Runs of a draining
 /// worker are therefore stopped while the end of the stop can still be
-/// reported, which takes two heartbeats and the wait for the log. Long-running
-/// tasks serve until the worker leaves, as their ends need no report.
+/// reported, which takes two heartbeats and the wait for the log, and as much
+/// again for each further list of ends. Long-running tasks serve until the
+/// worker leaves, as their ends need no report.
 bool fleet_controller::must_vacate(const worker_view& it) const {
   if (!it.beat.draining()) return false;
   const milliseconds remaining =
       milliseconds(static_cast<int64_t>(it.beat.remaining_ms())) - it.delay -
       (clock_.now() - it.last_heartbeat_at);
-  return remaining <= settings_.worker_stop + 2 * heartbeat_interval(it) +
-                          settings_.max_answer_wait;
+  const milliseconds interval = heartbeat_interval(it);
+  const milliseconds per_list = interval + settings_.max_answer_wait;
+  const size_t per_heartbeat = it.beat.max_ended();
+  const size_t further_lists =
+      per_heartbeat == 0 ? 0 : book_.runs_on(it.id).size() / per_heartbeat;
+  return remaining <= settings_.worker_stop + interval + per_list +
+                          per_list * static_cast<int64_t>(further_lists);
 }
 
 bool fleet_controller::is_long_running(const run_key& run) const {
--- a/fleet/incomplete-ends-test.cc
+++ b/fleet/incomplete-ends-test.cc
@@ -57,6 +57,19 @@
       rows.erase(rows.begin());
     }
   }
+  /// Ends the runs that were ordered to stop, at the earliest after `delay`.
+  void end_stopped_runs(milliseconds delay) {
+    const time_point now = boxes_.clock.now();
+    auto& rows = *beat.mutable_running();
+    for (int i = rows.size() - 1; i >= 0; --i) {
+      const run_key run{to_key(rows[i].task()), run_number(rows[i].run())};
+      const auto stopped = stopped_at_.find(run);
+      if (stopped == stopped_at_.end() || now - stopped->second < delay)
+        continue;
+      add_end(rows[i].task(), rows[i].run(), fleet::run_stopped);
+      rows.DeleteSubrange(i, 1);
+    }
+  }
   size_t ends() const { return ends_.size(); }
   int refused() const { return refused_; }
 
@@ -72,6 +85,10 @@
   void carry_out(const fleet::worker_orders& orders) {
     while (!ends_.empty() && ends_.front().number() <= orders.last_end())
       ends_.pop_front();
+    for (const fleet::stop_order& it : orders.stops()) {
+      const run_key run{to_key(it.task()), run_number(it.run())};
+      stopped_at_.try_emplace(run, boxes_.clock.now());
+    }
     for (const fleet::start_order& it : orders.starts()) {
       const run_key run{to_key(it.task()), run_number(it.run())};
       if (!begun_.insert(run).second) {
@@ -97,6 +114,7 @@
   heartbeat_route route_;
   std::deque<fleet::run_end> ends_;
   std::set<run_key> begun_;
+  std::map<run_key, time_point> stopped_at_;
   uint64_t last_end_ = 0;
   int refused_ = 0;
 };
@@ -277,6 +295,30 @@
   CHECK_TRUE(has_succeeded(boxes, job));
 }
 
+// Runs on a worker that leaves were stopped too late for all of their ends to
+// be listed.
+TEST(incomplete_ends, ends_remain_unreported_when_the_worker_goes) {
+  constexpr uint32_t tasks = 12;
+  constexpr milliseconds stop_time{900};
+  for (const uint32_t limit : {1, 2, 5, 12, 20}) {
+    control_boxes boxes;
+    listing_worker busy(boxes, "a", limit);
+    busy.call();
+    submit(boxes, job, tasks);
+    while (busy.beat.running_size() < static_cast<int>(tasks)) busy.call();
+    busy.beat.set_draining(true);
+    for (milliseconds left{20'000}; left.count() >= 0;
+         left -= heartbeat_interval) {
+      busy.beat.set_remaining_ms(static_cast<uint64_t>(left.count()));
+      busy.call();
+      boxes.pass(heartbeat_interval);
+      busy.end_stopped_runs(stop_time);
+    }
+    LONGS_EQUAL(0, busy.beat.running_size());
+    LONGS_EQUAL(0, busy.ends());
+  }
+}
+
 // A run that had ended without room for its end in a heartbeat was blamed for
 // the crash of its worker.
 TEST(incomplete_ends, ended_run_is_blamed_for_a_crash) {
