Starts beyond the size of an answer that a worker accepts wait for the next one

Cause: all starts that a worker lacks went into one answer. A worker drops an answer of more than 4 MiB; 1,200 starts with texts of 4,000 bytes take 4.8 MB. The next answer held the same and more, so that the worker's lease lapsed and none of its calls was acknowledged again.

Change: stops, paces and the lease come first, then starts up to 4 MiB as they stand on the wire, those of older jobs first. The others go with the next answers and are not withdrawn as unsent meanwhile; a log line and a counter tell of it. The code of starts has a file of its own, as controller-orders.cc had grown.

--- a/base/text-test.cc
+++ b/base/text-test.cc
@@ -55,3 +55,15 @@
     if (row.good) CHECK_EQUAL(row.port, port);
   }
 }
+
+TEST(text, json_size_covers_escapes) {
+  struct {
+    const char* text;
+    size_t size;
+  } const rows[] = {{"", 0},     {"plain", 5}, {"\"", 2},
+                    {"\\", 2},   {"a/b", 4},   {"\n", 6},
+                    {"\x01", 6}, {"\x7f", 6},  {"\xc3\xa9", 2}};
+  for (const auto& row : rows) {
+    CHECK_EQUAL_TEXT(row.size, json_size(row.text), row.text);
+  }
+}
--- a/base/text.cc
+++ b/base/text.cc
@@ -72,6 +72,20 @@
   return out + '"';
 }
 
+size_t json_size(std::string_view text) {
+  constexpr unsigned char first_printable = 0x20;
+  constexpr unsigned char del = 0x7f;
+  constexpr size_t escaped_control = 6;  // Such as \u001f.
+  size_t n = 0;
+  for (const char it : text) {
+    const auto c = static_cast<unsigned char>(it);
+    const bool control = c < first_printable || c == del;
+    const bool quoted = c == '"' || c == '\\' || c == '/';
+    n += control ? escaped_control : quoted ? 2 : 1;
+  }
+  return n;
+}
+
 bool split_address(std::string_view text, std::string& host, uint16_t& port) {
   const size_t at = text.rfind(':');
   if (at == std::string_view::npos || at == 0) return false;
--- a/base/text.h
+++ b/base/text.h
@@ -46,6 +46,9 @@
 /// empty or holds a space, quote, equals sign, backslash or control byte.
 std::string quote_value(std::string_view value);
 
+/// Upper bound of the text's size as the content of a JSON string.
+size_t json_size(std::string_view text);
+
 /// Splits an `IP:PORT` text; false when it has no such form.
 bool split_address(std::string_view text, std::string& host, uint16_t& port);
 
--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -226,9 +226,9 @@
   if (workers_.views().size() <= settings_.max_direct_workers) {
     orders.set_beat_at(settings_.heartbeat_address);
   }
-  add_starts(it, orders);
   add_stops(it, orders);
   add_paces(it, orders);
+  add_starts(it, orders);
   log_orders(it, orders);
   return orders;
 }
@@ -281,62 +281,6 @@
   it.lists_unrecorded = has_unrecorded;
 }
 
-/// When the start of the run was last sent, by this leader or an earlier one.
-time_point fleet_controller::last_order_of(const worker_view& it,
-                                           const run_key& run) const {
-  const auto sent = it.starts_sent_at.find(run);
-  return std::max(led_since_, sent == it.starts_sent_at.end() ? time_point{}
-                                                              : sent->second);
-}
-
-/// True when the worker lacks the order to start the run. A run that may have
-/// ended is ordered again only once the last order must have arrived: the
-/// worker refuses to start it again, and lists that as one more end.
-bool fleet_controller::lacks_order(const worker_view& it,
-                                   const run_key& run) const {
-  const run_presence presence = presence_of(it, run);
-  if (presence != run_presence::unknown)
-    return presence == run_presence::absent;
-  return it.unsent_starts.contains(run) ||
-         clock_.now() - last_order_of(it, run) > order_arrival_limit();
-}
-
-/// The starts for an answer given now.
-std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
-  // None of the runs may begin while some of them are being declared lost.
-  if (!accepts_starts(it) || pending_losses_.contains(it.id)) return {};
-  // An order in an answer that the worker drops occupies capacity uselessly
-  // until the worker's next heartbeat; an order that was never sent can be
-  // withdrawn.
-  if (lag_.behind() && !scheduler_.has_open_call(it)) return {};
-  if (is_overcommitted(it)) return {};
-  std::vector<run_key> out;
-  for (const run_key& run : book_.runs_on(it.id)) {
-    const bool ended =
-        should_stop(run) || pending_successes_.contains(run.task);
-    if (!ended && lacks_order(it, run)) out.push_back(run);
-  }
-  return out;
-}
-
-/// A start is sent again until the worker lists the run.
-void fleet_controller::add_starts(worker_view& it,
-                                  fleet::worker_orders& orders) {
-  for (const run_key& run : starts_for(it)) {
-    if (!order_is_recorded(run)) continue;
-    const task_entry& task = *book_.find(run.task);
-    fleet::start_order& start = *orders.add_starts();
-    *start.mutable_task() = to_ref(run.task);
-    start.set_run(static_cast<uint32_t>(run.run.value()));
-    start.set_text(book_.find(run.task.job)->spec.text());
-    start.set_saved(task.saved);
-    it.starts_sent_at[run] = clock_.now();
-    it.unsent_starts.erase(run);
-    placed_in_vain_.erase(run.task);
-    it.awaits_start = true;
-  }
-}
-
 void fleet_controller::add_stops(worker_view& it,
                                  fleet::worker_orders& orders) {
   const auto add = [&](const run_key& run) {
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -77,6 +77,8 @@
   /// fewer, in inverse proportion to the stretch: the answers of a turn are
   /// sent together at its end.
   size_t max_answers_per_turn = 128;
+  /// A worker drops an answer that is larger than this when encoded.
+  size_t max_answer_bytes = size_t{4} << 20;
   /// The longest time a worker takes to stop a run.
   milliseconds worker_stop{1'000};
   /// Data centres that may be evacuated, in addition to those that workers
@@ -250,8 +252,12 @@
   bool hold_call(worker_view& it);
   fleet::worker_orders orders_for(worker_view& it);
   void log_orders(worker_view& it, const fleet::worker_orders& orders) const;
+  // Starts in answers: controller-starts.cc.
   std::vector<run_key> starts_for(worker_view& it);
+  void sort_by_age(std::vector<run_key>& runs) const;
+  fleet::start_order make_start(const run_key& run) const;
   void add_starts(worker_view& it, fleet::worker_orders& orders);
+  void put_off_starts(worker_view& it, const std::vector<run_key>& runs);
   void add_stops(worker_view& it, fleet::worker_orders& orders);
   void add_paces(worker_view& it, fleet::worker_orders& orders);
   bool should_stop(const run_key& run) const;
