--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -89,8 +89,8 @@
   std::erase_if(runs,
                 [this](const auto& run) { return !order_is_recorded(run); });
   sort_by_age(runs);
-  const auto others =
-      static_cast<size_t>(orders.stops_size() + orders.paces_size());
+  const size_t others = static_cast<size_t>(orders.stops_size()) +
+                        static_cast<size_t>(orders.paces_size());
   size_t used =
       detail::max_answer_head_bytes + others * detail::max_order_bytes;
   auto next = runs.begin();
