--- a/fleet/incomplete-ends-test.cc
+++ b/fleet/incomplete-ends-test.cc
@@ -9,7 +9,6 @@
 #include "base/text.h"
 #include "fleet/cancelled-test-world.h"
 #include "fleet/crash-evidence.h"
-#include "fleet/run-presence.h"
 
 using namespace kestrelreel;
 using cancelled::control_boxes;
