Tests: ends of workers that are put off while the leader is overloaded

Fails on: 23 tasks that were done on workers that live start again, some 7.3 s after their first start, and an end waits for 7,225 ms to be recorded. Traced in the simulation: the run begins, ends 0.64 s later, no call of its worker is passed on for a lease, its run is declared lost, and it starts elsewhere 0.17 s later: the record's order of things and intervals, with the tests' lease of 7 s for the site's 6.

--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -87,6 +87,9 @@
   int wasted_placements = 0;
   // Longest time between two heartbeats of a live worker read by the leader.
   milliseconds longest_read_gap{0};
+  // Longest time from the end of a run until its end is recorded, for workers
+  // that live.
+  milliseconds longest_end_lag{0};
   // Starts of tasks that had succeeded before.
   int restarts_after_success = 0;
   // Measured processor time of the leader, in microseconds, and the number of
@@ -146,6 +149,35 @@
   std::map<run_key, time_point> committed_at_;
 };
 
+/// Measures how long ends take to be recorded.
+class end_waits {
+ public:
+  void ended(const std::string& worker, const run_key& run, time_point now) {
+    unrecorded_[worker].emplace(run, now);
+  }
+  void recorded(const fleet::worker_report& report, time_point now,
+                outcome& out) {
+    auto& runs = unrecorded_[worker_name_of(worker_id(report.worker()))];
+    for (const fleet::run_end& it : report.ends()) {
+      const auto found = runs.find({to_key(it.task()), run_number(it.run())});
+      if (found == runs.end()) continue;
+      out.longest_end_lag = std::max(out.longest_end_lag, now - found->second);
+      runs.erase(found);
+    }
+  }
+  /// The worker is lost with the ends that it has not reported.
+  void lost(const std::string& worker) { unrecorded_.erase(worker); }
+  void finish(time_point now, outcome& out) const {
+    for (const auto& [worker, runs] : unrecorded_) {
+      for (const auto& [run, at] : runs)
+        out.longest_end_lag = std::max(out.longest_end_lag, now - at);
+    }
+  }
+
+ private:
+  std::map<std::string, std::map<run_key, time_point>> unrecorded_;
+};
+
 /// A simulated worker as the leader sees it.
 struct busy_worker {
   simulated_worker state;
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -116,6 +116,7 @@
 
   const outcome& out() {
     waits_.finish(clock_.now(), out_);
+    end_waits_.finish(clock_.now(), out_);
     return out_;
   }
 
@@ -298,6 +299,7 @@
     entries_.pop_front();
     leader_.applied(command);
     for (const auto& it : command.batch().commands()) {
+      end_waits_.recorded(it.report(), clock_.now(), out_);
       for (const fleet::run_start& start : it.starts().starts()) {
         waits_.start_committed({to_key(start.task()), run_number(start.run())},
                                clock_.now());
@@ -324,6 +326,7 @@
 
   void drop_runs(busy_worker& worker) {
     worker.lapsed = true;
+    end_waits_.lost(worker.state.id);
     for (const auto& [run, ends] : worker.state.runs)
       record_interruption(run.task);
     worker.state.runs.clear();
@@ -356,6 +359,7 @@
     worker.state.next_call =
         std::min(worker.state.next_call, clock_.now() + call_delay_after_end);
     record_interruption(run.task);
+    end_waits_.ended(worker.state.id, run, clock_.now());
     if (outcome != fleet::run_done) return;
     ++out_.done;
     done_.insert(run.task);
@@ -440,6 +444,7 @@
   std::deque<fleet::fleet_request> submissions_;
   std::vector<reply> replies_;
   task_waits waits_;
+  end_waits end_waits_;
   std::set<task_key> running_;
   std::set<task_key> done_;
   end_tracker ends_;
