Ends in calls that wait at a box reach the leader before its lease on them ends

Callers saw a task that was done start again, 6.45 and 6.60 s after its first start (the record; the site's lease is 6 s). Cause: a box passes on a window of calls, and none beyond it while the leader says that it is overloaded. A worker that is put off stays and lists its end in each call, but the leader reads none of them for a lease, declares the run lost and starts the task elsewhere.

Now a box sends the ends in calls that wait for space in the window along with the next batch, each once a second. They need no answer, so that they take no place in the window; the leader records them, and the answer to a later call acknowledges them.

put_off_ends.task_done_on_a_worker_put_off_for_a_lease_starts_again failed before (23 tasks again, an end listed for up to 7 s) and passes.

The test counts an end from the call that first lists it: the simulated worker doesn't call again for an end that came while a call was out (a trace shows 1.1 s), which would blame the leader for what it wasn't told. The bound is the one it had, a third of a lease.

--- a/daemon/fleet-record-beats.cc
+++ b/daemon/fleet-record-beats.cc
@@ -67,7 +67,7 @@
   if (leader.empty() || !intake_.has_pending_calls()) return;
   if (here && !controller_.leading()) return;
   fleet::beat_batch batch = intake_.collect(leader);
-  if (batch.beats().empty()) return;
+  if (batch.beats().empty() && batch.waiting().empty()) return;
   if (here) {
     controller_.take_heartbeats(batch, [this](fleet::beat_answer answer) {
       fleet::beat_answers one;
--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -98,6 +98,7 @@
 
 fleet::beat_batch heartbeat_intake::collect(const std::string& leader) {
   fleet::beat_batch batch;
+  add_waiting_ends(leader, batch);
   if (waiting_ == 0) return batch;
   for (worker_state* it : next_to_forward()) {
     *batch.add_beats() =
@@ -111,6 +112,34 @@
   return batch;
 }
 
+/// True when the last call lists ends that the leader was not sent of late.
+bool heartbeat_intake::lists_unsent_ends(const worker_state& it,
+                                         const std::string& leader) const {
+  const auto& ends = it.beat.ended();
+  if (ends.empty()) return false;
+  return it.ends_sent_to != leader ||
+         ends.rbegin()->number() > it.last_end_sent ||
+         clock_.now() - it.ends_sent_at >= settings_.resend_ends_after;
+}
+
+void heartbeat_intake::add_waiting_ends(const std::string& leader,
+                                        fleet::beat_batch& batch) {
+  for (const std::string& id : std::exchange(waiting_with_ends_, {})) {
+    const auto found = workers_.find(id);
+    if (found == workers_.end()) continue;
+    worker_state& it = found->second;
+    if (!lists_unsent_ends(it, leader)) continue;
+    fleet::worker_beat& out = *batch.add_waiting();
+    out.set_worker(it.beat.worker());
+    out.set_born(it.beat.born());
+    *out.mutable_ended() = it.beat.ended();
+    it.ends_sent_to = leader;
+    it.last_end_sent = it.beat.ended().rbegin()->number();
+    it.ends_sent_at = clock_.now();
+    ++metrics_.counter("kestrelreel_heartbeat_ends_sent_ahead_total");
+  }
+}
+
 /// Selects the workers whose call is forwarded now.
 std::vector<heartbeat_intake::worker_state*>
 heartbeat_intake::next_to_forward() {
@@ -328,8 +357,10 @@
   for (auto& [id, it] : workers_) {
     if (!it.respond) continue;
     const milliseconds age = now - it.called_at;
-    if (it.state == call_state::waiting && window_full() && may_put_off(it))
-      put_off(it);
+    if (it.state == call_state::waiting && window_full()) {
+      if (!it.beat.ended().empty()) waiting_with_ends_.insert(id);
+      if (may_put_off(it)) put_off(it);
+    }
     if (!it.respond || age < settings_.answer_timeout) continue;
     if (it.state == call_state::forwarded) {
       ++slow_answers_;
--- a/fleet/beat-intake.h
+++ b/fleet/beat-intake.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   /// never heard. Together with the slowest answer and two intervals of calls
   /// this is a third of a lease.
   milliseconds max_unforwarded{700};
+  /// Ends in calls that wait are sent to the leader again after this time, as
+  /// the message may be lost.
+  milliseconds resend_ends_after{1'000};
   /// Delay after which the worker should retry.
   milliseconds retry_delay{200};
   /// Without any answer for this time, the leader is out of reach of this box,
@@ -74,15 +78,19 @@
   /// logged and counted in the same metric as on the leader.
   void take(fleet::worker_beat beat, respond_function respond);
   /// True when calls wait to be forwarded and the window has space or does not
-  /// apply to them.
+  /// apply to them, or when the leader is to be told of ends.
   bool has_pending_calls() const {
-    return overdue_ > 0 || (waiting_ > 0 && forwarded_ < window_);
+    return overdue_ > 0 || (waiting_ > 0 && forwarded_ < window_) ||
+           !waiting_with_ends_.empty();
   }
   /// Returns the calls to forward to `leader`. A leader that does not know a
   /// worker gets the whole heartbeat, else the difference. The batch holds no
   /// more calls than the leader can answer in time: otherwise all calls queue
   /// at the leader, every answer is late and leases expire. Draining workers
   /// come first, then those that have waited longest, so that each has a turn.
+  /// The ends in calls that wait for space in the window are sent along: a
+  /// worker that is put off until its lease expires must not lose results that
+  /// it listed.
   fleet::beat_batch collect(const std::string& leader);
   /// Forwards the leader's answers; answers to earlier calls are dropped.
   void handle_answers(const fleet::beat_answers& answers);
@@ -119,6 +127,11 @@
     time_point waiting_since{};
     // The pending call is forwarded whatever the window.
     bool overdue = false;
+    // The last end that was sent to the leader `ends_sent_to` from a call that
+    // waited, and when.
+    std::string ends_sent_to;
+    uint64_t last_end_sent = 0;
+    time_point ends_sent_at{};
     // The state that the leader `known_to` has, by the forwarded call with the
     // sequence `forwarded_sequence`.
     std::string known_to;
@@ -132,6 +145,9 @@
   void refuse(const fleet::worker_beat& beat, const respond_function& respond);
   std::vector<worker_state*> next_to_forward();
   bool may_put_off(const worker_state& it) const;
+  void add_waiting_ends(const std::string& leader, fleet::beat_batch& batch);
+  bool lists_unsent_ends(const worker_state& it,
+                         const std::string& leader) const;
   void record_answer_time(const worker_state& it);
   void record_rtt(const worker_state& it, const fleet::beat_answer& answer);
   void shrink_window();
@@ -152,6 +168,8 @@
   // Calls that wait to be forwarded, and those of them that are overdue.
   size_t waiting_ = 0;
   size_t overdue_ = 0;
+  // Workers whose calls with ends have waited since the last batch.
+  std::set<std::string> waiting_with_ends_;
   // By its last answer, the leader is overloaded: it gets no calls beyond the
   // window.
   bool leader_overloaded_ = false;
--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -6,7 +6,9 @@
 #include <ctime>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fleet/slow-test-parts.h"
@@ -87,8 +89,8 @@
   int wasted_placements = 0;
   // Longest time between two heartbeats of a live worker read by the leader.
   milliseconds longest_read_gap{0};
-  // Longest time from the end of a run until its end is recorded, for workers
-  // that live.
+  // Longest time from the first heartbeat that lists an end until the end is
+  // recorded, for workers that live.
   milliseconds longest_end_lag{0};
   // Starts of tasks that had succeeded before.
   int restarts_after_success = 0;
@@ -152,8 +154,10 @@
 /// Measures how long ends take to be recorded.
 class end_waits {
  public:
-  void ended(const std::string& worker, const run_key& run, time_point now) {
-    unrecorded_[worker].emplace(run, now);
+  /// Only the first time that an end is listed counts.
+  void listed(const std::string& worker, const run_key& run, time_point now) {
+    if (listed_.insert({worker, run}).second)
+      unrecorded_[worker].emplace(run, now);
   }
   void recorded(const fleet::worker_report& report, time_point now,
                 outcome& out) {
@@ -175,6 +179,7 @@
   }
 
  private:
+  std::set<std::pair<std::string, run_key>> listed_;
   std::map<std::string, std::map<run_key, time_point>> unrecorded_;
 };
 
--- a/fleet/controller-ends.cc
+++ b/fleet/controller-ends.cc
@@ -136,6 +136,14 @@
   record_ends(*it, beat.ended(), false);
 }
 
+/// Records the ends in a call that waits at another box. The answer to that
+/// call or to a later one acknowledges them.
+void fleet_controller::record_waiting_ends(const fleet::worker_beat& beat) {
+  worker_view* it = workers_.find(incarnation_of(beat));
+  if (it == nullptr || it->loss_proposed) return;
+  record_ends(*it, beat.ended(), false);
+}
+
 /// The successful ends in the report were applied or could not be proposed.
 void fleet_controller::settle_successes(const fleet::worker_report& report) {
   for (const fleet::run_end& end : report.ends()) {
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -44,6 +44,8 @@
       respond(make_response(fleet::fleet_unavailable, "no-leader"));
     }
   }
+  if (!leads_ || !log_.may_decide()) return;
+  for (const fleet::worker_beat& it : batch.waiting()) record_waiting_ends(it);
 }
 
 void fleet_controller::on_heartbeat(const fleet::worker_beat& beat,
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -228,6 +228,7 @@
   void record_ends(worker_view& it, const listed_ends& ends, bool timely);
   void record_end(worker_view& it, const fleet::run_end& end);
   void record_ends_only(const fleet::worker_beat& beat);
+  void record_waiting_ends(const fleet::worker_beat& beat);
   void settle_successes(const fleet::worker_report& report);
   void log_late_end(const std::string& worker, const job_book::late_end& it);
   void count_refusals(worker_view& it, const fleet::worker_report& report);
--- a/fleet/put-off-ends-test.cc
+++ b/fleet/put-off-ends-test.cc
@@ -1,7 +1,8 @@
-// Boxes put off most calls, as the leader is overloaded.
+// Ends in calls that a box puts off, as its window is full.
 #include <CppUTest/TestHarness.h>
 
 #include "fleet/busy-leader-test-rows.h"
+#include "fleet/fleet-test-world.h"
 
 using namespace kestrelreel;
 using busy::scenario;
@@ -24,7 +25,48 @@
 
 }  // namespace
 
-TEST_GROUP(put_off_ends){};
+TEST_GROUP(put_off_ends) {
+  test_world world;
+  heartbeat_intake intake{make_narrow(), world.clock, world.metrics};
+  fleet::task_ref task;
+
+  /// A window of one call.
+  static intake_settings make_narrow() {
+    intake_settings out;
+    out.initial_window = out.min_window = out.max_window = 1;
+    return out;
+  }
+  /// One task runs on "a"; the call of "b" fills the window.
+  void setup() override {
+    world.configure(1, 99);
+    world.submit(1, {test_world::make_step(1)});
+    task = world.beat("a").starts(0).task();
+    call("b");
+    collect();
+  }
+  void call(const std::string& worker) {
+    intake.take(world.next_heartbeat(worker),
+                [](const fleet::fleet_response&) {});
+  }
+  /// The box puts off the calls that it can't forward in time.
+  void put_off() {
+    world.clock.advance(intake_settings().put_off_after);
+    intake.expire();
+  }
+  fleet::beat_batch collect(const char* leader = "L") {
+    fleet::beat_batch batch = intake.collect(leader);
+    world.controller.take_heartbeats(batch, [](const fleet::beat_answer&) {});
+    world.commit();
+    return batch;
+  }
+  /// Number of workers whose ends are sent to the leader after one more call of
+  /// "a" that is put off.
+  int sent_after_call(const char* leader = "L") {
+    call("a");
+    put_off();
+    return intake.has_pending_calls() ? collect(leader).waiting_size() : 0;
+  }
+};
 
 // Ends of a worker whose calls were put off for a whole lease were read after
 // its runs had been declared lost.
@@ -42,3 +84,39 @@
                        "an end unrecorded");
   }
 }
+
+TEST(put_off_ends, end_in_a_call_that_is_put_off_counts) {
+  world.end("a", task, 1, fleet::run_done);
+  LONGS_EQUAL(1, sent_after_call());
+  LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
+  // The worker lists the end until an answer of the leader acknowledges it.
+  LONGS_EQUAL(1, world.beat("a").last_end());
+}
+
+TEST(put_off_ends, ends_are_sent_once_until_they_may_be_lost) {
+  LONGS_EQUAL(0, sent_after_call());
+  world.end("a", task, 1, fleet::run_stopped);
+  LONGS_EQUAL(1, sent_after_call());
+  LONGS_EQUAL(0, sent_after_call());
+  LONGS_EQUAL(1, sent_after_call("M"));
+  world.end("a", task, 2, fleet::run_refused);
+  LONGS_EQUAL(1, sent_after_call("M"));
+  LONGS_EQUAL(0, sent_after_call("M"));
+  world.clock.advance(intake_settings().resend_ends_after);
+  call("b");
+  collect("M");
+  LONGS_EQUAL(1, sent_after_call("M"));
+}
+
+// An end that arrives while the loss of its run is being recorded.
+TEST(put_off_ends, end_counts_after_its_run_is_declared_lost) {
+  world.end("a", task, 1, fleet::run_done);
+  call("a");
+  put_off();
+  const fleet::beat_batch batch = intake.collect("L");
+  world.pass(milliseconds(10'000));
+  LONGS_EQUAL(0, world.controller.book().runs_on(worker_id("a")).size());
+  world.controller.take_heartbeats(batch, [](const fleet::beat_answer&) {});
+  world.commit();
+  LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
+}
