Ends in a put-off copy of another sender are refused like the copy itself

Callers would see a job as succeeded whose task still runs: a heartbeat that the leader refuses (another address, an unknown pool, a clock far ahead) ended the run if the box put it off. Cause: ends that are sent ahead carried the worker's id alone, and the leader took them past the checks of heartbeats. They raise the last end, so that the worker's own ends below it are acknowledged without effect.

The box now tells pool, address, sequence and clock of the waiting call, and the leader holds it to the checks of a forwarded one, with the same log line and metric. put_off_copy.end_in_a_copy_that_is_put_off_counts failed before and passes; put-off-ends, fleet, late-intake, late-end, incomplete-ends and refused-difference pass (release); others were not run.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -132,6 +132,10 @@
     fleet::worker_beat& out = *batch.add_waiting();
     out.set_worker(it.beat.worker());
     out.set_born(it.beat.born());
+    out.set_pool(it.beat.pool());
+    out.set_address(it.beat.address());
+    out.set_sequence(it.beat.sequence());
+    out.set_clock_ms(it.beat.clock_ms());
     *out.mutable_ended() = it.beat.ended();
     it.ends_sent_to = leader;
     it.last_end_sent = it.beat.ended().rbegin()->number();
--- a/fleet/controller-ends.cc
+++ b/fleet/controller-ends.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/text.h"
+#include "fleet/beat-order.h"
 #include "fleet/controller.h"
 #include "kernel/log.h"
 
@@ -137,10 +138,19 @@
 }
 
 /// Records the ends in a call that waits at another box. The answer to that
-/// call or to a later one acknowledges them.
+/// call or to a later one acknowledges them. A call that would be rejected if
+/// it were forwarded ends no runs.
 void fleet_controller::record_waiting_ends(const fleet::worker_beat& beat) {
+  const auto ignore = [](const fleet::fleet_response&) {};
+  if (const char* fault = find_fault(beat))
+    return reject_heartbeat(beat, fault, ignore);
   worker_view* it = workers_.find(incarnation_of(beat));
   if (it == nullptr || it->loss_proposed) return;
+  const bool inconsistent =
+      it->has_heartbeat &&
+      compare_heartbeats(it->beat, it->last_heartbeat_at, beat, clock_.now()) ==
+          heartbeat_order::inconsistent;
+  if (inconsistent) return reject_heartbeat(beat, "misfit", ignore);
   record_ends(*it, beat.ended(), false);
 }
 
