Tests: a row of order_states in which a run goes on over a change of leader

A trial in which a new leader doesn't wait for the leases of the one before was not found without it, and is found: two runs at once. Two other deliberate faults (a late success that doesn't count once its run was declared lost, ends outside heartbeats dropped) are not found within the bounds: a pass is weak evidence. 114,501 states, 170,754 sequences, 11.5 s in the release build.

--- a/fleet/order-states-test.cc
+++ b/fleet/order-states-test.cc
@@ -207,6 +207,7 @@
   using enum event_kind;
   const scenario rows[] = {
       {"a run is done", ended + event_list{{call}, {elect}}, 6, {delay, leave}},
+      {"a run goes on", begun + event_list{{elect}}, 8, {}},
       {"a later run is recorded",
        ended + event_list{{silence}, {wait}, {commit}, {commit}, {elect}},
        7,
