Reports of waiting steps tell short ones and the kinds of runs that hold processors

Of a pool without free processors the log said how many are taken, but not by what, and nothing of short steps. Whether long-running tasks that were placed again, reservations, backfill or a plan that was cut short stand in the way of a wide short job could not be told from a log.

"lasting-room" now parts the taken processors by kind of run and counts plans cut short, and also appears while short steps wait. "short-waits" gives the counts of "lasting-waits" for up to four short steps a second, "short-steps" what waits by the standing of its job, and "job-over" the extent of the job. Counts are taken once a second; no decision changes.

--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -297,9 +297,12 @@
     if (job.live()) continue;
     const auto [seen, fresh] = finished_since_.try_emplace(number, now);
     if (fresh) {
+      const job_size size = size_of(job.spec);
       log_event(detail::service_name, log_level::info, "job-over")
           .with("job", to_text(number))
-          .with("phase", fleet::job_phase_Name(job.phase));
+          .with("phase", fleet::job_phase_Name(job.phase))
+          .with("widest-step", size.widest_step)
+          .with("core-ms", size.core_ms);
     }
     const time_point since = seen->second;
     if (now - since >= settings_.finished_job_retention) due.insert(number);
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -12,10 +12,16 @@
 constexpr const char* service_name = "scheduler";
 /// Waits below this are not logged.
 constexpr milliseconds report_after{1'000};
-constexpr milliseconds report_every{1'000};
-/// Steps logged per report: a line costs 1 us for each worker, and the
-/// reclaimable capacity some 6 us more, once for all lines.
-constexpr size_t max_reports = 8;
+/// Number of tasks of the step that fit into the capacity by their processors
+/// and memory.
+uint64_t places_for(const resources& available, const fleet::step_spec& spec) {
+  const auto times = [](uint64_t all, uint64_t each) {
+    return each == 0 ? UINT64_MAX : all / each;
+  };
+  return std::min({times(available.cpu, spec.cpu_milli()),
+                   times(available.memory_mb, spec.memory_mb()),
+                   uint64_t{1'000}});
+}
 
 }  // namespace detail
 
@@ -97,20 +103,21 @@
   return out;
 }
 
-/// Capacity held on each usable worker by runs that are not long-running, by
-/// kind: backfill, less urgent than `priority`, and all others.
+/// Capacity held on each usable worker by kind of run: backfill, short and less
+/// urgent than `priority`, other short ones, and long-running.
 std::vector<reclaimable> fleet_scheduler::reclaimable_for(uint32_t priority) {
   std::vector<reclaimable> out;
   for (worker_view* it : candidates()) {
-    reclaimable& held = out.emplace_back(reclaimable{it, {}, {}, {}});
+    reclaimable& held = out.emplace_back(reclaimable{it, {}, {}, {}, {}});
     for (const run_key& run : book_.runs_on(it->id)) {
       const fleet::step_spec* spec = book_.find_step(run.task);
-      if (spec == nullptr || spec->long_running()) continue;
+      if (spec == nullptr) continue;
       const job_entry& job = *book_.find(run.task.job);
       const bool less_urgent = book_.queue_of(job).priority() > priority;
-      resources& more = spec->fills() ? held.backfill
-                        : less_urgent ? held.less_urgent
-                                      : held.other;
+      resources& more = spec->long_running() ? held.long_running
+                        : spec->fills()      ? held.backfill
+                        : less_urgent        ? held.less_urgent
+                                             : held.other;
       if (!spec->fills()) more.cpu += spec->cpu_milli();
       more.memory_mb += spec->memory_mb();
       more.accelerators += spec->accelerators();
@@ -147,83 +154,19 @@
       return available.cpu >= spec.cpu_milli() &&
              available.memory_mb >= spec.memory_mb();
     };
-    out.fit += fits_with({});
+    if (fits_with({}) != 0) {
+      ++out.fit;
+      out.with_reservations += fits(worker, step);
+      out.places += detail::places_for(available, spec);
+    }
     out.without_backfill += fits_with(it.backfill);
     out.without_less_urgent += fits_with(it.less_urgent);
     out.without_short += fits_with(it.other);
+    out.without_long_running += fits_with(it.long_running);
   }
   return out;
 }
 
-void fleet_scheduler::report_wait(const pending_step& step, uint64_t tasks,
-                                  milliseconds waited,
-                                  const std::vector<reclaimable>& workers) {
-  const fit_counts n = count_fits(step, workers);
-  log_event(detail::service_name, log_level::warn, "lasting-waits")
-      .with("step", to_text(step.first))
-      .with("tasks", tasks)
-      .with("waited-ms", waited.count())
-      .with("cpu", step.spec.cpu_milli())
-      .with("memory-mb", step.spec.memory_mb())
-      .with("workers", n.usable)
-      .with("barred", n.excluded)
-      .with("fit", n.fit)
-      .with("fit-cpu", n.fit_cpu)
-      .with("fit-memory", n.fit_memory)
-      .with("fit-without-fills", n.without_backfill)
-      .with("fit-without-lesser", n.without_less_urgent)
-      .with("fit-without-short", n.without_short)
-      .with("most-cpu", n.most_cpu)
-      .with("most-memory-mb", n.most_memory);
-}
-
-/// Logs unusable workers by reason, and the processors of the usable ones: in
-/// all, in use, in use by runs that their worker does not list, and reserved.
-void fleet_scheduler::report_processors() {
-  std::map<std::string, uint64_t> ruled_out;
-  resources all, taken, unlisted, reserved;
-  const size_t usable = candidates().size();
-  for (auto& [id, it] : workers_.views()) {
-    if (const char* reason = exclusion_reason(it)) {
-      ++ruled_out[reason];
-      continue;
-    }
-    all.cpu += it.beat.cpu_milli();
-    taken.cpu += it.load.cpu;
-    for (const capacity_reservation& entry : it.reservations)
-      reserved.cpu += entry.cpu;
-    for (const run_key& run : book_.runs_on(id)) {
-      const fleet::step_spec* step = book_.find_step(run.task);
-      if (step == nullptr || step->fills() || it.rows.contains(run)) continue;
-      unlisted.cpu += step->cpu_milli();
-    }
-  }
-  log_event line(detail::service_name, log_level::warn, "lasting-room");
-  line.with("usable", usable)
-      .with("cpu", all.cpu)
-      .with("taken-cpu", taken.cpu)
-      .with("unlisted-cpu", unlisted.cpu)
-      .with("kept-cpu", reserved.cpu);
-  for (const auto& [reason, n] : ruled_out) line.with(reason, n);
-}
-
-void fleet_scheduler::report_waits() {
-  const time_point now = clock_.now();
-  if (now - waits_reported_at_ < detail::report_every) return;
-  waits_reported_at_ = now;
-  std::map<uint32_t, std::vector<reclaimable>> by_priority;
-  size_t lines = 0;
-  for (const delayed_step& wait : delayed_steps(detail::report_after)) {
-    if (lines == 0) report_processors();
-    if (++lines > detail::max_reports) return;
-    const auto [workers, inserted] = by_priority.try_emplace(wait.priority);
-    if (inserted) workers->second = reclaimable_for(wait.priority);
-    const job_entry& job = *book_.find(wait.first.job);
-    report_wait(pending_step_of(job, wait.first, false), wait.tasks,
-                now - wait.since, workers->second);
-  }
-}
-
 void fleet_scheduler::report_late_start(const placement& it,
                                         bool long_running) {
   const auto& since = tracking_of(it.task.job).pending_since;
--- a/fleet/job-order.cc
+++ b/fleet/job-order.cc
@@ -85,6 +85,16 @@
   return false;
 }
 
+job_size size_of(const fleet::fleet_job_spec& job) {
+  constexpr uint64_t milli = 1'000;
+  job_size out;
+  for (const fleet::step_spec& it : job.steps()) {
+    out.widest_step = std::max(out.widest_step, it.count());
+    out.core_ms += it.count() * it.cpu_milli() * it.estimate_ms() / milli;
+  }
+  return out;
+}
+
 uint64_t smallest_task_cpu(const job_entry& job) {
   uint64_t least = UINT64_MAX;
   for (const fleet::step_spec& it : job.spec.steps()) {
--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -67,6 +67,12 @@
 bool is_interrupted(const task_entry& task);
 /// True if the job has an interrupted task.
 bool was_interrupted(const job_entry& job);
+/// Extent of a job by declared times.
+struct job_size {
+  uint32_t widest_step = 0;  // In tasks.
+  uint64_t core_ms = 0;      // Processor time of all its tasks.
+};
+job_size size_of(const fleet::fleet_job_spec& job);
 /// Processors of the job's smallest long-running task, in thousandths.
 uint64_t smallest_task_cpu(const job_entry& job);
 
--- a/fleet/reservation-types.h
+++ b/fleet/reservation-types.h
@@ -97,25 +97,57 @@
   size_t index;
 };
 
-/// Capacity that a worker's short tasks hold: backfill tasks, tasks of less
-/// urgent queues, and all others.
+/// Usable workers of a pool, their processors, and the processors that their
+/// long-running and their other tasks but backfill hold, all in thousandths
+/// of a core.
+struct pool_use {
+  uint64_t workers = 0;
+  uint64_t cpu = 0;
+  uint64_t long_running = 0;
+  uint64_t others = 0;
+};
+
+/// Processors that runs in the book hold, by kind, in thousandths of a core.
+struct held_processors {
+  uint64_t resumed = 0;       // Long-running, started more than once.
+  uint64_t long_running = 0;  // Long-running, in their first run.
+  uint64_t others = 0;        // Neither long-running nor backfill.
+  uint64_t backfill = 0;      // Asked for; backfill reserves none.
+  uint64_t unlisted = 0;      // Of all but backfill, unlisted by the worker.
+
+  void add(const fleet::step_spec& step, run_number run, bool listed);
+};
+
+/// A step of short tasks without a worker.
+struct waiting_short_step {
+  task_key first;
+  time_point since;
+  uint32_t tasks;
+};
+
+/// Capacity that a worker's tasks hold: backfill tasks, short tasks of less
+/// urgent queues, all other short tasks, and long-running tasks.
 struct reclaimable {
   worker_view* worker;
   resources backfill;
   resources less_urgent;
   resources other;
+  resources long_running;
 };
 
-/// Workers that fit a task now, or would without some of their short tasks.
+/// Workers that fit a task now, or would without some of their tasks.
 struct fit_counts {
   uint64_t usable = 0;
   uint64_t excluded = 0;
+  uint64_t with_reservations = 0;  // Those that fit with all reservations kept.
+  uint64_t places = 0;             // Tasks that fit, reservations aside.
   uint64_t fit = 0;
   uint64_t fit_cpu = 0;
   uint64_t fit_memory = 0;
   uint64_t without_backfill = 0;
   uint64_t without_less_urgent = 0;
   uint64_t without_short = 0;
+  uint64_t without_long_running = 0;
   uint64_t most_cpu = 0;
   uint64_t most_memory = 0;
 };
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -226,6 +226,7 @@
   std::vector<worker_view*> all;
   for (const waiting_job& it : jobs) {
     cut_short_ = evaluations_left_ == 0;
+    plans_cut_short_ += cut_short_;
     if (cut_short_) return out;
     plan_job(it, all, out);
   }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -24,6 +24,8 @@
 
 namespace kestrelreel {
 
+class log_event;
+
 /// Makes all placement decisions of the leader. Its state is derived from the
 /// job book and the workers' heartbeats.
 class fleet_scheduler {
@@ -65,8 +67,8 @@
   /// Reserves capacity for long-running tasks that are pending for too long and
   /// returns the runs to evict; runs in `stopping` have been ordered to stop.
   reservation_result reserve_capacity(const std::set<run_key>& stopping);
-  /// Logs why long-running tasks have been pending for more than a second: at
-  /// most once a second, for a few steps.
+  /// Logs why tasks have been pending for more than a second: at most once a
+  /// second, for a few long-running and a few short steps.
   void report_waits();
   /// Processors of the pool's usable workers that short jobs can use; with
   /// `backfill`, those that backfill tasks can expect to find unused.
@@ -166,15 +168,6 @@
     // The job's work has been added to the short demand.
     bool demand_recorded = false;
   };
-  /// Usable workers of a pool, their processors, and the processors that their
-  /// long-running and their other tasks but backfill hold, all in thousandths
-  /// of a core.
-  struct pool_use {
-    uint64_t workers = 0;
-    uint64_t cpu = 0;
-    uint64_t long_running = 0;
-    uint64_t others = 0;
-  };
   std::vector<waiting_job> waiting_jobs();
   job_tracking& tracking_of(job_number number);
   bool has_tasks_to_place(job_number number, const job_entry& job);
@@ -288,11 +281,15 @@
   std::vector<reclaimable> reclaimable_for(uint32_t priority);
   fit_counts count_fits(const pending_step& step,
                         const std::vector<reclaimable>& workers) const;
-  void report_wait(const pending_step& step, uint64_t tasks,
-                   milliseconds waited,
-                   const std::vector<reclaimable>& workers);
   const char* exclusion_reason(const worker_view& it) const;
+  // Reports of pending steps: wait-reports.cc.
+  using reclaimable_by_priority = std::map<uint32_t, std::vector<reclaimable>>;
+  std::vector<waiting_short_step> waiting_short_steps();
+  void report_wait(log_event& line, const task_key& first, uint64_t tasks,
+                   milliseconds waited, reclaimable_by_priority& workers);
   void report_processors();
+  void report_short_waits(const std::vector<waiting_short_step>& waits,
+                          reclaimable_by_priority& workers);
   void report_late_start(const placement& it, bool long_running);
   void report_if_only_evacuated_fit(const pending_step& step,
                                     const std::vector<worker_view*>& usable);
@@ -377,6 +374,10 @@
   // Workers on which a suspect is being tried.
   std::vector<worker_id> suspect_workers_;
   time_point waits_reported_at_{};
+  // Since when steps of short tasks wait, as of the last report.
+  std::map<task_key, time_point> short_waits_;
+  // Plans since the last report that left steps to the next one.
+  uint64_t plans_cut_short_ = 0;
   time_point reserved_at_{};
   // Time of day, and the clock time at which it was read.
   uint64_t wall_ms_ = 0;
--- a/fleet/waiting-steps.cc
+++ b/fleet/waiting-steps.cc
@@ -12,8 +12,7 @@
 
 }  // namespace detail
 
-fleet_scheduler::pool_use& fleet_scheduler::pool_use_of(
-    const std::string& pool) {
+pool_use& fleet_scheduler::pool_use_of(const std::string& pool) {
   const auto [it, inserted] = pool_uses_.try_emplace(pool);
   if (!inserted) return it->second;
   for (const worker_view* worker : candidates()) {
