--- a/fleet/put-off-ends-test.cc
+++ b/fleet/put-off-ends-test.cc
@@ -1,6 +1,8 @@
 // Ends in calls that a box puts off, as its window is full.
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 #include "fleet/busy-leader-test-rows.h"
 #include "fleet/fleet-test-world.h"
 
@@ -120,3 +122,28 @@
   world.commit();
   LONGS_EQUAL(fleet::job_succeeded, world.state(1).phase());
 }
+
+// Younger calls took the space of each answer, so that the window was full at
+// no tick: the call was neither forwarded nor put off, and its end not sent.
+TEST(put_off_ends, end_waits_while_younger_calls_take_the_space) {
+  world.end("a", task, 1, fleet::run_done);
+  call("a");
+  std::string forwarded = "b";
+  int sent = 0;
+  for (int i = 0; i < 8; ++i) {
+    fleet::beat_answers answers;
+    fleet::beat_answer& it = *answers.add_answers();
+    it.set_worker(incarnation_of(world.workers[forwarded]).str());
+    it.set_sequence(world.workers[forwarded].sequence());
+    world.clock.advance(intake_settings().put_off_after);
+    intake.handle_answers(answers);
+    intake.expire();
+    call("c" + std::to_string(i));
+    call("d" + std::to_string(i));
+    const fleet::beat_batch batch = collect();
+    sent += batch.waiting_size();
+    LONGS_EQUAL(1, batch.beats_size());
+    forwarded = batch.beats(0).worker();
+  }
+  LONGS_EQUAL(1, sent);
+}
