Ends in a call that younger calls keep at a box are sent ahead too

An end could wait for up to 0.9 s at each box although the leader has space for it: only calls that wait while the window is full at a tick had their ends sent ahead. A call older than put_off_after is passed over for younger ones, which take the space that an answer frees before the tick. Now the ends of each call that old are sent ahead, whether or not the window is full at the tick; whom the box puts off is unchanged.

--- a/fleet/beat-intake.cc
+++ b/fleet/beat-intake.cc
@@ -361,9 +361,11 @@
   for (auto& [id, it] : workers_) {
     if (!it.respond) continue;
     const milliseconds age = now - it.called_at;
-    if (it.state == call_state::waiting && window_full()) {
-      if (!it.beat.ended().empty()) waiting_with_ends_.insert(id);
-      if (may_put_off(it)) put_off(it);
+    if (it.state == call_state::waiting) {
+      // Younger calls may take the space that an answer frees.
+      const bool waits = window_full() || may_put_off(it);
+      if (waits && !it.beat.ended().empty()) waiting_with_ends_.insert(id);
+      if (window_full() && may_put_off(it)) put_off(it);
     }
     if (!it.respond || age < settings_.answer_timeout) continue;
     if (it.state == call_state::forwarded) {
