--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -107,8 +107,7 @@
   /// the request.
   void request(const fleet::fleet_request& request,
                const respond_function& respond);
-  /// Handles heartbeats that another box received. Each is answered once, under
-  /// its sequence number.
+  /// Handles another box's heartbeats; answers each once, under its sequence.
   using answer_function = std::function<void(fleet::beat_answer)>;
   void take_heartbeats(const fleet::beat_batch& batch,
                        const answer_function& answer);
