Tests: a start after an end whose worker's lease lapsed before the acknowledgement is allowed

Traced: one lapse at the worker's end of the run, two at the later start; the end was acknowledged after the lapse. The rule leaves out an end whose worker's lease lapsed before it was taken note of, for good, as the check of ends that are acknowledged after the start does already. Only such ends are left out now.

--- a/fleet/acknowledged-end-test-parts.h
+++ b/fleet/acknowledged-end-test-parts.h
@@ -42,6 +42,9 @@
   run_key run;
   unsigned lapses = 0;
   bool started_after = false;
+  /// The lease lapsed between the end and its acknowledgement: the end need not
+  /// count.
+  bool lapsed = false;
 };
 
 struct simulated_worker {
