--- a/fleet/wait-reports.cc
+++ b/fleet/wait-reports.cc
@@ -169,7 +169,9 @@
   if (now - waits_reported_at_ < detail::report_every) return;
   waits_reported_at_ = now;
   const auto delayed = delayed_steps(detail::report_after);
-  const auto waits = waiting_short_steps();
+  // A lagging leader has no time for more.
+  const auto waits =
+      only_open_ ? std::vector<waiting_short_step>() : waiting_short_steps();
   const bool short_wait =
       !waits.empty() && now - waits.front().since >= detail::report_after;
   if (short_wait || !delayed.empty()) report_processors();
