--- a/fleet/order-states-test-world.h
+++ b/fleet/order-states-test-world.h
@@ -199,7 +199,7 @@
   void deliver(const message& it);
   void handle(slow::simulated_worker& it, const fleet::worker_orders& orders);
   void start_run(slow::simulated_worker& it, const fleet::start_order& start);
-  /// `LastSeen` of an answer reached the worker.
+  /// The acknowledgement in an answer reached the worker.
   void acknowledge(const std::string& life, uint64_t last);
   void release_ends(const std::string& life);
   void end_run(slow::simulated_worker& it, run_key run,
