Log how long a long-running task was out, and what became of its starts

`task_outages` keeps the outage of each long-running task from the log, on every replica: from the end of its last run that began until its worker lists a later one. A loss tells whether the run began and for how long its worker was unheard. `task-outage-over` tells the whole outage and each start in it.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -118,6 +118,9 @@
   loss.set_over(cause == loss_cause::replaced ||
                 cause == loss_cause::restarted || cause == loss_cause::left);
   loss.set_silent(cause == loss_cause::lease && !it.lapsed.empty());
+  const time_point heard_at =
+      it.has_heartbeat ? it.last_heartbeat_at : led_since_;
+  loss.set_unheard_ms(static_cast<uint64_t>((clock_.now() - heard_at).count()));
   it.loss_proposed = it.loss_proposed || loss.over();
   std::set<run_key> lost_runs(runs.begin(), runs.end());
   const bool crashed = shows_crash(it, cause);
@@ -128,6 +131,7 @@
     lost.set_run(static_cast<uint32_t>(run.run.value()));
     const auto row = it.rows.find(run);
     if (row != it.rows.end()) lost.set_saved(row->second.saved());
+    lost.set_began(counts_as_begun(it, run));
   }
   if (crashed) add_crash_findings(it, lost_runs, loss);
   add_command(std::move(command));
--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -109,6 +109,7 @@
   lag_.record_delay(it.delay);
   update_unrecorded_runs(it);
   if (it.awaits_start) it.awaits_start = awaits_start(it);
+  observe_begun_runs(it);
   record_ends(it, it.beat.ended(),
               timely ? end_source::timely : end_source::late);
   // The worker no longer waits for the answer to a late heartbeat.
@@ -266,6 +267,7 @@
     // The load already counts a proposed run, which stays correct unless the
     // book rejected the start.
     const bool counted = view->proposed_starts.erase(run) > 0;
+    if (leads_ && is_long_running(run)) view->awaited_runs.insert(run);
     if (counted && leads_) {
       view->unsent_starts[run] = clock_.now() + max_call_delay;
       workers_.groups().with_unsent_starts.add(*view);
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -35,6 +35,7 @@
       clock_(clock),
       log_(log),
       metrics_(metrics),
+      outages_(book_, clock),
       workers_(settings_.leases, clock),
       scheduler_(detail::scheduling_of(settings_), book_, workers_, clock) {}
 
@@ -241,7 +242,9 @@
 }
 
 void fleet_controller::apply_one(const fleet::fleet_command& command) {
+  const std::vector<run_key> ended = outages_.runs_ended_by(command);
   const job_book::result result = book_.apply(command);
+  outages_.apply(command, ended);
   if (command.has_starts()) on_starts_applied(command.starts());
   if (command.has_report()) {
     mark_runs_changed(command.report().worker());
@@ -302,6 +305,7 @@
 absl::Status fleet_controller::installed(const std::string& bytes) {
   const absl::Status status = book_.load(bytes);
   if (!status.ok()) return status;
+  outages_.reload();
   for (auto& [id, it] : workers_.views()) it.load_is_stale = true;
   has_pending_decisions_ = true;
   return status;
@@ -350,6 +354,7 @@
   for (const auto& [id, runs] : book_.runs()) workers_.expect(id);
   for (const auto& [id, end] : book_.workers()) workers_.expect(id);
   load_recorded_places();
+  await_recorded_starts();
   // The time since a leave restarts, as heartbeats that the previous leader
   // received after the leave may be lost.
   for (const worker_id& id : book_.left()) mark_left(id.str());
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -18,6 +18,7 @@
 #include "fleet/job-book.h"
 #include "fleet/leader-lag.h"
 #include "fleet/scheduler.h"
+#include "fleet/task-outages.h"
 #include "fleet/worker-table.h"
 #include "kernel/metrics.h"
 #include "scheduling/admission.h"
@@ -269,6 +270,13 @@
   time_point last_order_of(const worker_view& it, const run_key& run) const;
   bool lacks_order(const worker_view& it, const run_key& run) const;
 
+  // Outages of long-running tasks: controller-outages.cc.
+  bool counts_as_begun(const worker_view& it, const run_key& run) const;
+  void observe_begun_runs(worker_view& it);
+  void await_recorded_starts();
+  void log_outage(const run_key& run, const worker_view& worker,
+                  const task_outage& outage) const;
+
   // The leader's lag: controller-lag.cc.
   struct order_backlog {
     uint64_t unsent = 0;
@@ -345,6 +353,7 @@
   fleet_log& log_;
   metrics_registry& metrics_;
   job_book book_;
+  task_outages outages_;
   worker_table workers_;
   fleet_scheduler scheduler_;
   admission_control admission_;
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -138,6 +138,8 @@
   std::map<run_key, run_state> run_states;
   /// When the start order of a run was last sent.
   std::map<run_key, time_point> starts_sent_at;
+  /// Recorded runs of long-running tasks that no heartbeat has listed yet.
+  std::set<run_key> awaited_runs;
   /// Committed starts that no answer has carried yet, with the time until which
   /// they wait for one.
   std::map<run_key, time_point> unsent_starts;
