--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -131,7 +131,7 @@
     lost.set_run(static_cast<uint32_t>(run.run.value()));
     const auto row = it.rows.find(run);
     if (row != it.rows.end()) lost.set_saved(row->second.saved());
-    lost.set_began(counts_as_begun(it, run));
+    lost.set_unstarted(!counts_as_begun(it, run));
   }
   if (crashed) add_crash_findings(it, lost_runs, loss);
   add_command(std::move(command));
--- a/fleet/task-outages-test.cc
+++ b/fleet/task-outages-test.cc
@@ -71,7 +71,7 @@
     fleet::run_loss& it = *loss.add_runs();
     *it.mutable_task() = to_ref(task);
     it.set_run(run);
-    it.set_began(began);
+    it.set_unstarted(!began);
     apply(command);
   }
   milliseconds out_for() {
--- a/fleet/task-outages.cc
+++ b/fleet/task-outages.cc
@@ -21,11 +21,11 @@
   return loss.gone() ? "worker-gone" : "withdrawn";
 }
 
-/// True if the leader had found that the lost run began.
+/// False for a run that was recorded after the loss was proposed.
 bool has_begun(const fleet::worker_loss& loss, const run_key& run) {
   const auto& all = loss.runs();
   return std::any_of(all.begin(), all.end(), [&](const auto& it) {
-    return it.began() && run_of(it) == run;
+    return !it.unstarted() && run_of(it) == run;
   });
 }
 
