A long-running task's wait counts from its last run that began

Callers were without a long-running task for 9.6 s although there was room: two of its starts had come to nothing.

Cause: the only clock of its absence, `pending_since`, belonged to the job, began with the first look for a place and ended once all its tasks were placed. Each start that came to nothing set it back, so that capacity was reserved 2 s and the job went first 4.5 s after each of them; a task that waited lent its age to others of its job; a box that led again kept the clock of its earlier term.

Now the order, the reservations and the reports read the task's outage, which lasts from the end of its last run that began until a worker lists a later one, and which each replica keeps from the log. For a worker that fell silent it begins when the worker was last heard.

--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -37,7 +37,8 @@
       metrics_(metrics),
       outages_(book_, clock),
       workers_(settings_.leases, clock),
-      scheduler_(detail::scheduling_of(settings_), book_, workers_, clock) {}
+      scheduler_(detail::scheduling_of(settings_), book_, outages_, workers_,
+                 clock) {}
 
 void fleet_controller::request(const fleet::fleet_request& request,
                                const respond_function& respond) {
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -36,6 +36,13 @@
   return wall_read_at_ - milliseconds(wall_ms_ - due);
 }
 
+/// True for a pending task without a proposed start.
+bool fleet_scheduler::is_unplaced(const task_key& task) const {
+  const task_entry* it = book_.find(task);
+  return it != nullptr && it->phase == task_phase::waiting &&
+         !is_proposed(task);
+}
+
 /// Number of the step's pending tasks without a proposed start: only the
 /// interrupted ones, or all with `include_new`.
 uint32_t fleet_scheduler::unplaced(const task_key& first,
@@ -46,53 +53,57 @@
   uint32_t n = 0;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const task_key key{first.job, first.time, first.step, i};
-    if (tasks[i].phase != task_phase::waiting || is_proposed(key)) continue;
-    if (include_new || is_interrupted(tasks[i])) ++n;
+    if (is_unplaced(key) && (include_new || is_interrupted(tasks[i]))) ++n;
   }
   return n;
 }
 
-/// Adds one entry for interrupted tasks and one that also counts new ones.
+/// Adds one entry for interrupted tasks whose outage lasts for `min_wait`, and
+/// one that also counts new ones if those have been due for long.
 void fleet_scheduler::add_delayed_steps(const job_entry& job,
-                                        const task_key& first, time_point since,
+                                        const task_key& first, time_point due,
+                                        milliseconds min_wait,
                                         std::vector<delayed_step>& out) const {
   const auto& spec = job.spec.steps(static_cast<int>(first.step));
   if (!spec.long_running() || spec.gang()) return;
+  const step_entry& step = job.times[first.time][first.step];
+  if (step.done + step.running >= step.tasks.size()) return;
   if (!book_.dependencies_done(job, first.time, first.step)) return;
-  const uint32_t priority = book_.queue_of(job).priority();
-  const uint32_t interrupted = unplaced(first, false);
-  const uint32_t all = unplaced(first, true);
-  if (interrupted > 0) {
-    out.push_back(
-        {priority, since, first, interrupted, spec.cpu_milli(), false});
-  }
+  const time_point now = clock_.now();
+  delayed_step interrupted{
+      book_.queue_of(job).priority(), now, first, 0, spec.cpu_milli(), false};
+  outages_.for_each(first.job, [&](const task_key& task, const auto& it) {
+    if (task.time != first.time || task.step != first.step) return;
+    if (now - it.since < min_wait || !is_unplaced(task)) return;
+    ++interrupted.tasks;
+    interrupted.since = std::min(interrupted.since, it.since);
+  });
+  if (interrupted.tasks > 0) out.push_back(interrupted);
   // New tasks may wait longer: short jobs earn more with a processor.
-  if (all > interrupted &&
-      clock_.now() - since >= settings_.reserve_new_after) {
-    out.push_back({priority, since, first, all, spec.cpu_milli(), true});
+  const uint32_t fresh = unplaced(first, true) - unplaced(first, false);
+  if (fresh > 0 && now - due >= settings_.reserve_new_after) {
+    out.push_back({interrupted.priority, due, first, interrupted.tasks + fresh,
+                   spec.cpu_milli(), true});
   }
 }
 
-/// Steps whose long-running tasks have been pending for `min_wait` since they
-/// were due, ordered by priority, then interrupted tasks before new ones, then
+/// Steps with long-running tasks that have been out or due for `min_wait`,
+/// ordered by priority, then interrupted tasks before new ones, then
 /// smaller tasks first: if capacity is short, interrupted services resume and
 /// more tasks serve.
 std::vector<delayed_step> fleet_scheduler::delayed_steps(
     milliseconds min_wait) {
   std::vector<delayed_step> out;
-  const time_point now = clock_.now();
   for (const auto& [order, number] : book_.live()) {
     const auto tracking = tracked_jobs_.find(number);
-    if (tracking == tracked_jobs_.end() || !tracking->second.pending_since)
-      continue;
+    if (tracking == tracked_jobs_.end() || !tracking->second.due_at) continue;
     const job_entry& job = *book_.find(number);
     for (uint32_t time = 0; time < job.times.size(); ++time) {
       const auto due = due_since(job, time);
       if (!due) break;
-      const time_point since = std::max(*tracking->second.pending_since, *due);
-      if (now - since < min_wait) break;
+      const time_point since = std::max(*tracking->second.due_at, *due);
       for (uint32_t step = 0; step < job.times[time].size(); ++step) {
-        add_delayed_steps(job, {number, time, step, 0}, since, out);
+        add_delayed_steps(job, {number, time, step, 0}, since, min_wait, out);
       }
     }
   }
@@ -169,9 +180,13 @@
 
 void fleet_scheduler::report_late_start(const placement& it,
                                         bool long_running) {
-  const auto& since = tracking_of(it.task.job).pending_since;
-  if (!long_running || !since) return;
-  const milliseconds waited = clock_.now() - *since;
+  if (!long_running) return;
+  const task_outage* outage = outages_.find(it.task);
+  const time_point since =
+      outage != nullptr
+          ? outage->since
+          : tracking_of(it.task.job).due_at.value_or(clock_.now());
+  const milliseconds waited = clock_.now() - since;
   if (waited < detail::report_after) return;
   log_event(detail::service_name, log_level::warn, "lasting-starts-late")
       .with("task", to_text(it.task))
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -120,32 +120,12 @@
          clock_.now() - *tracking.idle_since >= settings_.starved_after;
 }
 
-fleet_scheduler::job_tracking& fleet_scheduler::tracking_of(job_number number) {
+job_tracking& fleet_scheduler::tracking_of(job_number number) {
   const auto [it, fresh] = tracked_jobs_.try_emplace(number);
   if (fresh) it->second.accepted = clock_.now();
   return it->second;
 }
 
-job_order fleet_scheduler::current_job_order(job_number number,
-                                             const job_entry& job) {
-  job_tracking& tracking = tracking_of(number);
-  const time_point now = clock_.now();
-  job_order order =
-      settings_.decisions.overload_order
-          ? order_in_overload(number, job)
-          : order_of(job, book_.queue_of(job), tracking.accepted, now);
-  if (order.standing != job_standing::long_running) return order;
-  if (!tracking.pending_since) tracking.pending_since = now;
-  if (now - *tracking.pending_since < settings_.long_running_first_after)
-    return order;
-  order.deadline = *tracking.pending_since;
-  order.standing = job_standing::in_time;
-  if (!was_interrupted(job)) return order;
-  order.standing = job_standing::interrupted;
-  order.task_cpu = smallest_task_cpu(job);
-  return order;
-}
-
 /// Updates the job's tracking; true if a step of it is to be tried now. Most
 /// live jobs have nothing to place, and a full evaluation of each took half of
 /// the planning time at 1,100 workers.
@@ -178,7 +158,7 @@
             may_fit_on_freed_worker(job.spec.steps(static_cast<int>(step)))));
     }
   }
-  if (!due) tracking.pending_since.reset();
+  if (due && !tracking.due_at) tracking.due_at = clock_.now();
   if (!waits) return false;
   if (runs) tracking.idle_since.reset();
   if (!runs && !tracking.idle_since) tracking.idle_since = clock_.now();
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -14,11 +14,13 @@
 #include "fleet/job-book.h"
 #include "fleet/job-order.h"
 #include "fleet/job-progress.h"
+#include "fleet/job-tracking.h"
 #include "fleet/load-forecast.h"
 #include "fleet/pool-load.h"
 #include "fleet/reservation-types.h"
 #include "fleet/scheduler-settings.h"
 #include "fleet/short-demand.h"
+#include "fleet/task-outages.h"
 #include "fleet/worker-load.h"
 #include "fleet/worker-table.h"
 
@@ -31,9 +33,11 @@
 class fleet_scheduler {
  public:
   fleet_scheduler(scheduler_settings settings, const job_book& book,
-                  worker_table& workers, clock_source& clock)
+                  const task_outages& outages, worker_table& workers,
+                  clock_source& clock)
       : settings_(settings),
         book_(book),
+        outages_(outages),
         workers_(workers),
         clock_(clock),
         progress_(book, workers, clock, settings.decisions.learn_run_times) {}
@@ -148,26 +152,6 @@
     run_number run;
     worker_view* worker;
   };
-  /// A job's part in overload: overload.cc.
-  struct overload_state {
-    bool passed_over = false;  // Gives way to others now.
-    bool gave_way = false;     // Was passed over when it came to be late.
-    bool goes_first = false;   // Late for it, and served before others now.
-    // Decisions that have been reported, each only once.
-    bool passing_reported = false;
-    bool return_reported = false;
-  };
-  /// Scheduling state of a live job that the book does not hold.
-  struct job_tracking {
-    time_point accepted;
-    // Since when a long-running job has pending tasks.
-    std::optional<time_point> pending_since;
-    // Since when the job has pending tasks but none that runs.
-    std::optional<time_point> idle_since;
-    overload_state overload;
-    // The job's work has been added to the short demand.
-    bool demand_recorded = false;
-  };
   std::vector<waiting_job> waiting_jobs();
   job_tracking& tracking_of(job_number number);
   bool has_tasks_to_place(job_number number, const job_entry& job);
@@ -237,6 +221,7 @@
                                          const worker_view& it) const;
   bool is_starved(const job_tracking& tracking) const;
   job_order current_job_order(job_number number, const job_entry& job);
+  std::optional<time_point> interrupted_since(job_number number) const;
   bool retry_is_due(const task_key& step) const;
   std::vector<worker_view*> take_freed_workers();
   void count_evaluations(uint64_t n);
@@ -274,9 +259,10 @@
   std::optional<time_point> due_since(const job_entry& job,
                                       uint32_t time) const;
   uint32_t unplaced(const task_key& first, bool include_new) const;
+  bool is_unplaced(const task_key& task) const;
   std::vector<delayed_step> delayed_steps(milliseconds min_wait);
   void add_delayed_steps(const job_entry& job, const task_key& first,
-                         time_point since,
+                         time_point due, milliseconds min_wait,
                          std::vector<delayed_step>& out) const;
   std::vector<reclaimable> reclaimable_for(uint32_t priority);
   fit_counts count_fits(const pending_step& step,
@@ -327,6 +313,7 @@
 
   scheduler_settings settings_;
   const job_book& book_;
+  const task_outages& outages_;
   worker_table& workers_;
   clock_source& clock_;
   job_progress progress_;
--- a/fleet/task-outages.h
+++ b/fleet/task-outages.h
@@ -57,6 +57,13 @@
   void reload();
   /// The task's worker lists the run; returns the outage that is over.
   std::optional<task_outage> begin_run(const run_key& run);
+  /// Calls `visit` with each task of the job that has an outage, and with it.
+  template <typename Visit>
+  void for_each(job_number job, Visit visit) const {
+    for (auto it = outages_.lower_bound({job, 0, 0, 0});
+         it != outages_.end() && it->first.job == job; ++it)
+      visit(it->first, it->second);
+  }
   /// The outage of the task, or null.
   const task_outage* find(const task_key& task) const;
   /// When the run was recorded as started, if the task's outage is open.
--- a/fleet/waiting-steps.cc
+++ b/fleet/waiting-steps.cc
@@ -1,5 +1,6 @@
-// Decides which pending steps are tried now: retries of steps that did not fit,
-// workers with freed capacity, and the share set aside for short jobs.
+// Orders pending jobs and decides which steps are tried now: retries of steps
+// that did not fit, workers with freed capacity, and the share set aside for
+// short jobs.
 #include <algorithm>
 
 #include "fleet/scheduler.h"
@@ -12,6 +13,40 @@
 
 }  // namespace detail
 
+job_order fleet_scheduler::current_job_order(job_number number,
+                                             const job_entry& job) {
+  job_tracking& tracking = tracking_of(number);
+  const time_point now = clock_.now();
+  job_order order =
+      settings_.decisions.overload_order
+          ? order_in_overload(number, job)
+          : order_of(job, book_.queue_of(job), tracking.accepted, now);
+  if (order.standing != job_standing::long_running) return order;
+  const auto waits_long = [&](const std::optional<time_point>& since) {
+    return since && now - *since >= settings_.long_running_first_after;
+  };
+  if (const auto since = interrupted_since(number); waits_long(since)) {
+    order.deadline = *since;
+    order.standing = job_standing::interrupted;
+    order.task_cpu = smallest_task_cpu(job);
+  } else if (waits_long(tracking.due_at) && has_new_task(job)) {
+    order.deadline = *tracking.due_at;
+    order.standing = job_standing::in_time;
+  }
+  return order;
+}
+
+/// The beginning of the longest outage among the job's pending tasks.
+std::optional<time_point> fleet_scheduler::interrupted_since(
+    job_number number) const {
+  std::optional<time_point> out;
+  outages_.for_each(number, [&](const task_key& task, const task_outage& it) {
+    if (!is_unplaced(task)) return;
+    out = out ? std::min(*out, it.since) : it.since;
+  });
+  return out;
+}
+
 pool_use& fleet_scheduler::pool_use_of(const std::string& pool) {
   const auto [it, inserted] = pool_uses_.try_emplace(pool);
   if (!inserted) return it->second;
@@ -48,8 +83,7 @@
                           settings_.short_demand_percent / detail::percent;
   uint64_t reserved = std::min(demand, share(settings_.max_short_percent));
   const bool unknown =
-      tracking.pending_since &&
-      now - *tracking.pending_since < settings_.short_demand_warmup;
+      tracking.due_at && now - *tracking.due_at < settings_.short_demand_warmup;
   if (unknown)
     reserved = std::max(reserved, share(settings_.min_short_percent));
   // Whole workers only: a part of one does not fit a large task.
