--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -1,7 +1,6 @@
-// Declares runs lost: those of workers that fell silent, of machines that
-// continue under another identity, and runs that never began.
+// Declares runs lost: those of workers that fell silent or left, and those of
+// machines that continue under another identity.
 #include <algorithm>
-#include <chrono>
 #include <optional>
 #include <string>
 
@@ -35,13 +34,6 @@
 constexpr milliseconds idle_review_interval{1'000};
 /// How long after its lease a silent worker without runs is kept.
 constexpr milliseconds silent_worker_retention{60'000};
-/// Added to the time after which a worker drops an answer, for the delay of its
-/// next heartbeat: a run ordered longer ago than both and still not listed
-/// never begins.
-constexpr milliseconds order_margin{500};
-/// Interval between reviews for runs that never began, per worker: reviewing
-/// one worker's runs takes 2 us.
-constexpr std::chrono::microseconds unstarted_review_per_worker{400};
 /// True when `newer` proves that the incarnation `it` at the same place is
 /// over. A heartbeat of an earlier incarnation may arrive after the next one
 /// began, after a network cut even several, seconds apart. `newer` must
@@ -316,86 +308,4 @@
   });
 }
 
-/// How long after an order, if it was not lost, the worker lists its run.
-milliseconds fleet_controller::order_arrival_limit() const {
-  return workers_.leases().answer_limit + detail::order_margin;
-}
-
-/// Declares runs lost that must not start any more and that their worker has
-/// not begun long after the last order. The first heartbeats that a leader gets
-/// may date from before its leadership: their age is unknown until the worker
-/// is known to get this leader's answers.
-void fleet_controller::review_unstarted(worker_view& it) {
-  if (!it.got_answer || pending_losses_.contains(it.id)) return;
-  const bool can_start = accepts_starts(it) && !is_overcommitted(it);
-  std::vector<run_key> lost;
-  for (const run_key& run : book_.runs_on(it.id)) {
-    if (presence_of(it, run) != run_presence::absent) continue;
-    if (can_start && !should_stop(run)) continue;
-    // A run missing from a delayed heartbeat may have begun since.
-    const time_point sent_at = it.last_timely_heartbeat_at - it.delay;
-    if (sent_at - last_order_of(it, run) > order_arrival_limit())
-      lost.push_back(run);
-  }
-  if (!lost.empty()) propose_loss(it, lost, loss_cause::unstarted);
-}
-
-/// Withdraws starts that waited too long to be sent, or need not be sent any
-/// more: a start for a worker whose heartbeat is overdue occupies capacity
-/// while the task could run elsewhere. A start that was never sent can't begin,
-/// and none of the worker's starts is sent while the withdrawal is pending.
-void fleet_controller::review_unsent() {
-  const time_point now = clock_.now();
-  workers_.groups().with_unsent_starts.retain_if([&](worker_view& it) {
-    if (it.unsent_starts.empty()) return false;
-    if (pending_losses_.contains(it.id)) return true;
-    const auto& runs = book_.runs_on(it.id);
-    std::erase_if(it.unsent_starts,
-                  [&runs](const auto& p) { return !runs.contains(p.first); });
-    std::vector<run_key> expired;
-    std::vector<run_key> withdrawn;
-    for (const auto& [run, deadline] : it.unsent_starts) {
-      const bool obsolete = should_stop(run);
-      if (!obsolete && now >= deadline) expired.push_back(run);
-      if (obsolete || now >= deadline) withdrawn.push_back(run);
-    }
-    if (withdrawn.empty()) return !it.unsent_starts.empty();
-    for (const run_key& run : withdrawn) it.unsent_starts.erase(run);
-    if (!expired.empty()) it.starts_recalled_at = now;
-    record_taken_back(it, expired);
-    propose_loss(it, withdrawn, loss_cause::unsent);
-    return !it.unsent_starts.empty();
-  });
-}
-
-/// Counts and logs withdrawn starts: only these figures explain a task that
-/// waits although capacity was found for it again and again.
-void fleet_controller::record_taken_back(const worker_view& it,
-                                         const std::vector<run_key>& runs) {
-  metrics_.counter("kestrelreel_starts_taken_back_total") += runs.size();
-  for (const run_key& run : runs) {
-    const unsigned times = ++placed_in_vain_[run.task];
-    log_event(detail::service_name, log_level::info, "placed-in-vain")
-        .with("task", to_text(run.task))
-        .with("run", run.run.value())
-        .with("worker", it.id.str())
-        .with("times", times)
-        .with("lasting", is_long_running(run) ? "yes" : "no")
-        .with("call-overdue-ms", (clock_.now() - it.call_due).count());
-  }
-}
-
-void fleet_controller::review_all_unstarted() {
-  const time_point now = clock_.now();
-  const auto pause =
-      detail::unstarted_review_per_worker * workers_.views().size();
-  if (now - unstarted_reviewed_at_ < pause) return;
-  unstarted_reviewed_at_ = now;
-  std::erase_if(placed_in_vain_, [this](const auto& p) {
-    return book_.find(p.first.job) == nullptr ||
-           !book_.find(p.first.job)->live();
-  });
-  for (auto& [id, it] : workers_.views()) review_unstarted(it);
-}
-
 }  // namespace kestrelreel
