--- a/fleet/cancelled-test-world.h
+++ b/fleet/cancelled-test-world.h
@@ -35,8 +35,8 @@
 /// that forwards heartbeats.
 class control_boxes {
  public:
-  control_boxes() {
-    controller_settings settings = test_world::make_settings();
+  explicit control_boxes(
+      controller_settings settings = test_world::make_settings()) {
     settings.finished_job_retention = job_retention;
     settings.wall_clock_ms = [this] {
       return static_cast<uint64_t>(clock.now().count());
