No start is placed on a worker that the log is about to forget

A long-running task never ran again under the leader at hand, with a worker free for it. A worker that had been silent for a minute called while its loss was being recorded, and got a start; the loss erased its view, and with it the leader's knowledge of the start. The run stood in the book for a worker that no review looks at.

The worker gets no new work from the proposal of such a loss on, as one whose incarnation is over already did. forgotten_worker failed on (not started within 20 s) and passes.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -114,6 +114,7 @@
       it.has_heartbeat ? it.last_heartbeat_at : led_since_;
   loss.set_unheard_ms(static_cast<uint64_t>((clock_.now() - heard_at).count()));
   it.loss_proposed = it.loss_proposed || loss.over();
+  it.forget_proposed = it.forget_proposed || loss.gone();
   std::set<run_key> lost_runs(runs.begin(), runs.end());
   const bool crashed = shows_crash(it, cause);
   if (crashed) lost_runs.insert(it.lapsed.begin(), it.lapsed.end());
--- a/fleet/controller.cc
+++ b/fleet/controller.cc
@@ -216,6 +216,7 @@
     settle_loss(worker);
     worker_view* it = workers_.find(worker);
     if (it != nullptr && command.loss().over()) it->loss_proposed = false;
+    if (it != nullptr && command.loss().gone()) it->forget_proposed = false;
   }
   if (command.has_leave()) {
     // The worker got no acknowledgement of its leave and may continue.
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -61,6 +61,7 @@
   const time_point now = clock_.now();
   if (!it.has_heartbeat) return "unheard";
   if (it.loss_proposed || it.superseded) return "another-life";
+  if (it.forget_proposed) return "forgotten";
   if (it.is_leaving || it.beat.draining()) return "leaving";
   if (is_evacuated(it)) return "evacuated";
   if (it.avoided_until > now) return "avoided";
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -122,6 +122,9 @@
   bool vacated = false;
   /// The loss of this incarnation was proposed: its heartbeats are ignored.
   bool loss_proposed = false;
+  /// A loss was proposed after which the worker is forgotten: a start recorded
+  /// behind it would belong to no known worker.
+  bool forget_proposed = false;
   /// The incarnation that was at the same place at the first heartbeat.
   std::optional<worker_id> predecessor;
   /// Another incarnation of the worker called later: this one gets no new
