A start that doesn't reach its worker is given up after 2 s

A long-running task stayed without a run for as long as its worker called, with another worker free: the worker got none of the answers, and the leader took the start in each of them for received.

A start is repeated in answers for 2 s.

--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -16,6 +16,9 @@
 /// and for all that is no order.
 constexpr size_t max_order_bytes = 128;
 constexpr size_t max_answer_head_bytes = 1'024;
+/// How long a start is repeated in answers, two of which a worker gets if it
+/// turns to another box each second.
+constexpr milliseconds max_offer_time{2'000};
 
 size_t encoded_size(const fleet::start_order& start) {
   return max_order_bytes + json_size(start.text()) + json_size(start.saved());
@@ -43,6 +46,17 @@
          clock_.now() - last_order_of(it, run) > order_arrival_limit();
 }
 
+/// True when the worker has not begun the run although its start was sent for
+/// long: it calls, but the answers don't reach it. The start is sent no more,
+/// so that the run can be declared lost.
+bool fleet_controller::offer_expired(const worker_view& it,
+                                     const run_key& run) const {
+  const auto sent = it.starts_first_sent_at.find(run);
+  return sent != it.starts_first_sent_at.end() &&
+         clock_.now() - sent->second >= detail::max_offer_time &&
+         !has_begun(it, run);
+}
+
 /// The starts for an answer given now.
 std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // None of the runs may begin while some of them are being declared lost.
@@ -56,7 +70,8 @@
   for (const run_key& run : book_.runs_on(it.id)) {
     const bool ended =
         should_stop(run) || pending_successes_.contains(run.task);
-    if (!ended && lacks_order(it, run)) out.push_back(run);
+    if (!ended && lacks_order(it, run) && !offer_expired(it, run))
+      out.push_back(run);
   }
   return out;
 }
@@ -100,6 +115,7 @@
     if (used > settings_.max_answer_bytes) break;
     *orders.add_starts() = std::move(start);
     it.starts_sent_at[*next] = clock_.now();
+    it.starts_first_sent_at.try_emplace(*next, clock_.now());
     it.unsent_starts.erase(*next);
     placed_in_vain_.erase(next->task);
     it.awaits_start = true;
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -26,17 +26,17 @@
   return workers_.leases().answer_limit + detail::order_margin;
 }
 
-/// Declares runs lost that must not start any more and that their worker has
-/// not begun long after the last order. The first heartbeats that a leader gets
-/// may date from before its leadership: their age is unknown until the worker
-/// is known to get this leader's answers.
+/// Declares runs lost that must not start any more, or whose start doesn't
+/// reach the worker, and that it has not begun long after the last order. The
+/// first heartbeats that a leader gets may date from before its leadership:
+/// their age is unknown until the worker is known to get this leader's answers.
 void fleet_controller::review_unstarted(worker_view& it) {
   if (!it.got_answer || pending_losses_.contains(it.id)) return;
   const bool can_start = accepts_starts(it) && !is_overcommitted(it);
   std::vector<run_key> lost;
   for (const run_key& run : book_.runs_on(it.id)) {
     if (presence_of(it, run) != run_presence::absent) continue;
-    if (can_start && !should_stop(run)) continue;
+    if (can_start && !should_stop(run) && !offer_expired(it, run)) continue;
     // A run missing from a delayed heartbeat may have begun since.
     const time_point sent_at = it.last_timely_heartbeat_at - it.delay;
     if (sent_at - last_order_of(it, run) > order_arrival_limit())
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -213,6 +213,7 @@
   bool is_long_running(const run_key& run) const;
   time_point last_order_of(const worker_view& it, const run_key& run) const;
   bool lacks_order(const worker_view& it, const run_key& run) const;
+  bool offer_expired(const worker_view& it, const run_key& run) const;
 
   // Outages of long-running tasks: controller-outages.cc.
   bool counts_as_begun(const worker_view& it, const run_key& run) const;
--- a/fleet/order-states-test-key.h
+++ b/fleet/order-states-test-key.h
@@ -100,6 +100,7 @@
   out.add_runs(it.unlisted_ends);
   out.add_runs(it.lapsed);
   out.add_times_of(it.starts_sent_at);
+  out.add_times_of(it.starts_first_sent_at);
   out.add_times_of(it.unsent_starts);
   for (const auto& [run, step] : it.proposed_starts) out.add(run.run.value());
 }
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -139,8 +139,9 @@
   std::set<run_key> unlisted_ends;
   /// Progress of the runs that have an end, if run times are learned.
   std::map<run_key, run_state> run_states;
-  /// When the start order of a run was last sent.
+  /// When the start order of a run was last sent, and when first.
   std::map<run_key, time_point> starts_sent_at;
+  std::map<run_key, time_point> starts_first_sent_at;
   /// Recorded runs of long-running tasks that no heartbeat has listed yet.
   std::set<run_key> awaited_runs;
   /// Committed starts that no answer has carried yet, with the time until which
