A task whose start came to nothing goes where a call is open

Interrupted long-running tasks were down for up to 14 s, with no worker lost and half of the pool free, where answers take 450 ms and more to reach the boxes. They were placed at workers whose call was due within 0.3 s by the leader's count, which begins with the sending of an answer; the boxes put those calls off, and each start was withdrawn after 0.8 s, up to 21 times a task.

When a call is due is an estimate. Once a start placed by it came to nothing, the task goes where a call waits for its answer, if such a worker has capacity.

--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -224,7 +224,8 @@
           model_.id_of(spec.image()),
           starved,
           queue.priority(),
-          spec.long_running() && has_interrupted_tasks(first)};
+          spec.long_running() && has_interrupted_tasks(first),
+          spec.long_running() && has_failed_start(first)};
 }
 
 void fleet_scheduler::plan_job(const waiting_job& job,
@@ -330,7 +331,9 @@
     score -= detail::spared_worker_penalty;
   }
   if (is_cold(it)) score -= detail::cold_start_penalty;
-  if (step.urgent && !calls_or_due_soon(it)) score -= detail::late_call_penalty;
+  const bool gets_order_soon =
+      step.start_failed ? has_open_call(it) : calls_or_due_soon(it);
+  if (step.urgent && !gets_order_soon) score -= detail::late_call_penalty;
   if (spec.target_ms() > 0) {
     score += detail::image_bonus * image_affinity(it, step.image);
   }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -119,6 +119,8 @@
     uint32_t priority;
     // The step has interrupted long-running tasks.
     bool urgent;
+    // A start of such a task has come to nothing.
+    bool start_failed;
   };
   struct serving_task {
     run_key run;
@@ -205,6 +207,7 @@
   void record_suspect_trials();
   void record_suspect_trial(const worker_id& id, const task_key& task);
   bool has_interrupted_tasks(const task_key& first) const;
+  bool has_failed_start(const task_key& first) const;
   bool awaits_evidence(const task_key& key, const task_entry& task) const;
   static bool is_testing(const worker_view& it, const pending_step& step);
   std::optional<double> score_beside_suspect(const pending_step& step,
--- a/fleet/suspects.cc
+++ b/fleet/suspects.cc
@@ -69,6 +69,17 @@
   return std::any_of(tasks.begin(), tasks.end(), is_interrupted);
 }
 
+/// True if a start of a pending task has come to nothing since its last run.
+/// When a worker's next call is due is only an estimate, which was wrong then.
+bool fleet_scheduler::has_failed_start(const task_key& first) const {
+  bool found = false;
+  outages_.for_each(first.job, [&](const task_key& task, const auto& it) {
+    found = found || (task.time == first.time && task.step == first.step &&
+                      it.failed_starts > 0 && is_unplaced(task));
+  });
+  return found;
+}
+
 /// True while the suspect's last worker is silent and may yet turn out to have
 /// crashed: another crash might reach the evidence limit.
 bool fleet_scheduler::awaits_evidence(const task_key& key,
