A late heartbeat doesn't put off the loss of its worker

Callers were without a long-running task for 9.1 and 9.7 s (9 s are borne): its worker had crashed, and heartbeats that it had sent before were read seconds late. A worker that was heard within 2 s is passed over when leases are reviewed; heard counted from the reading, so that each late heartbeat put the loss off by 2 s beyond the end of the lease.

Heard counts from the sending of the heartbeat now, in the review and in what a loss says. late_heartbeat_loss failed on (9,100 and 9,700 ms) and passes; fleet (with worker_life.worker_with_late_heartbeats), serving-downtime, busy-leader, lagging-leader and late-intake pass.

--- a/fleet/controller-reviews.cc
+++ b/fleet/controller-reviews.cc
@@ -111,7 +111,7 @@
                 cause == loss_cause::restarted || cause == loss_cause::left);
   loss.set_silent(cause == loss_cause::lease && !it.lapsed.empty());
   const time_point heard_at =
-      it.has_heartbeat ? it.last_heartbeat_at : led_since_;
+      it.has_heartbeat ? it.last_heartbeat_at - it.delay : led_since_;
   loss.set_unheard_ms(static_cast<uint64_t>((clock_.now() - heard_at).count()));
   it.loss_proposed = it.loss_proposed || loss.over();
   it.forget_proposed = it.forget_proposed || loss.gone();
@@ -246,12 +246,14 @@
   for (worker_view* due : watched.due_by(now)) {
     worker_view& it = *due;
     const auto& runs = book_.runs_on(it.id);
-    const bool recently_heard = now - it.last_heartbeat_at < detail::dead_after;
+    // A heartbeat tells of the worker at the time at which it was sent.
+    const time_point heard_at = it.last_heartbeat_at - it.delay;
+    const bool recently_heard = now - heard_at < detail::dead_after;
     // A silent worker without runs is not urgent.
     const time_point next_review =
         runs.empty() ? now + detail::idle_review_interval : now;
-    watched.set(it, recently_heard ? it.last_heartbeat_at + detail::dead_after
-                                   : next_review);
+    watched.set(it,
+                recently_heard ? heard_at + detail::dead_after : next_review);
     if (recently_heard || it.leave_recorded_at ||
         pending_losses_.contains(it.id))
       continue;
