No start is placed where it would be withdrawn before the worker's call

A start waits 0.8 s from its record, while a lagging leader tells workers to call up to 2 s later.

Workers whose call is due later than that are no candidates until it comes near.

--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -29,6 +29,8 @@
 constexpr double late_call_penalty = 200'000;
 /// A call due within this time counts as an open one.
 constexpr milliseconds soon{300};
+/// A start is recorded within this time unless the log is slow.
+constexpr milliseconds record_time{100};
 
 }  // namespace detail
 
@@ -98,8 +100,9 @@
 /// Workers on which the current plan may place tasks.
 std::vector<worker_view*> fleet_scheduler::plan_candidates() {
   std::vector<worker_view*> all = candidates();
-  if (only_open_)
-    std::erase_if(all, [&](auto* it) { return !has_open_call(*it); });
+  std::erase_if(all, [&](auto* it) {
+    return only_open_ ? !has_open_call(*it) : !calls_before_withdrawal(*it);
+  });
   return all;
 }
 
@@ -355,6 +358,13 @@
   return -detail::soon <= left && left <= detail::soon;
 }
 
+/// False if a start that is recorded soon would be withdrawn before the
+/// worker's next call.
+bool fleet_scheduler::calls_before_withdrawal(const worker_view& it) const {
+  return it.respond ||
+         it.call_due <= clock_.now() + max_call_delay - detail::record_time;
+}
+
 /// Score of the worker for a task of the step; none if it must not run there.
 std::optional<double> fleet_scheduler::score_if_allowed(
     const pending_step& step, const worker_view& it) const {
--- a/fleet/withdrawn-start-test.cc
+++ b/fleet/withdrawn-start-test.cc
@@ -146,7 +146,6 @@
   fleet::step_spec step = test_world::make_step(1, 4'000);
   step.set_long_running(true);
   slow.submit(1, {step});
-  LONGS_EQUAL(1, slow.controller.book().runs_on(worker_id("a")).size());
   slow.pass(milliseconds(1'100));
   LONGS_EQUAL(1, slow.controller.book().runs_on(worker_id("a")).size());
   slow.pass(milliseconds(100));
