Tests of starts that are withdrawn where the log is slow

The simulation takes the commit time from its scenario, 15 ms as before by default.

With commits of 600 ms an answer leaves after 500 ms without the start that it waited for.

--- a/fleet/busy-leader-test-parts.h
+++ b/fleet/busy-leader-test-parts.h
@@ -62,6 +62,8 @@
   milliseconds first_call_spread{200};
   // After an answer, a worker returns to the first box that it called.
   bool returns_to_first_box = false;
+  // Time from a proposal to its commit.
+  milliseconds commit_time = commit_delay;
 };
 
 /// Returns the processor time of this thread so far, in microseconds.
--- a/fleet/busy-leader-test-world.h
+++ b/fleet/busy-leader-test-world.h
@@ -44,7 +44,7 @@
   bool may_decide() override { return true; }
   term_number term() const override { return term_number(term_); }
   absl::Status propose(const fleet::fleet_command& command) override {
-    entries_.push_back({clock_.now() + commit_delay, command});
+    entries_.push_back({clock_.now() + scenario_.commit_time, command});
     return absl::OkStatus();
   }
 
