--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -48,11 +48,14 @@
 
 /// True when the worker has not begun the run although its start was sent for
 /// long: it calls, but the answers don't reach it. The start is sent no more,
-/// so that the run can be declared lost.
+/// so that the run can be declared lost. The other members of a gang wait for
+/// the run, so that its start is repeated.
 bool fleet_controller::offer_expired(const worker_view& it,
                                      const run_key& run) const {
   const auto sent = it.starts_first_sent_at.find(run);
-  return sent != it.starts_first_sent_at.end() &&
+  if (sent == it.starts_first_sent_at.end() || !it.got_answer) return false;
+  const fleet::step_spec* step = book_.find_step(run.task);
+  return step != nullptr && !step->gang() &&
          clock_.now() - sent->second >= detail::max_offer_time &&
          !has_begun(it, run);
 }
