--- a/fleet/job-order.cc
+++ b/fleet/job-order.cc
@@ -74,16 +74,13 @@
   return task.phase == task_phase::waiting && task.run.value() > 0;
 }
 
-bool has_new_task(const job_entry& job) {
+bool has_new_task(const std::vector<step_entry>& steps) {
   const auto is_new = [](const task_entry& it) {
     return it.phase == task_phase::waiting && !is_interrupted(it);
   };
-  for (const auto& steps : job.times) {
-    for (const step_entry& it : steps) {
-      if (std::any_of(it.tasks.begin(), it.tasks.end(), is_new)) return true;
-    }
-  }
-  return false;
+  return std::any_of(steps.begin(), steps.end(), [&](const step_entry& it) {
+    return std::any_of(it.tasks.begin(), it.tasks.end(), is_new);
+  });
 }
 
 job_size size_of(const fleet::fleet_job_spec& job) {
--- a/fleet/job-order.h
+++ b/fleet/job-order.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <vector>
 
 #include "base/clock.h"
 #include "fleet/job-book.h"
@@ -65,8 +66,8 @@
 bool has_backfill(const fleet::fleet_job_spec& job);
 /// True for a pending task that has started before.
 bool is_interrupted(const task_entry& task);
-/// True if a pending task of the job never started.
-bool has_new_task(const job_entry& job);
+/// True if a pending task of the steps never started.
+bool has_new_task(const std::vector<step_entry>& steps);
 /// Extent of a job by declared times.
 struct job_size {
   uint32_t widest_step = 0;  // In tasks.
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -226,6 +226,8 @@
   bool is_starved(const job_tracking& tracking) const;
   job_order current_job_order(job_number number, const job_entry& job);
   std::optional<time_point> interrupted_since(job_number number) const;
+  std::optional<time_point> new_tasks_due_since(job_number number,
+                                                const job_entry& job);
   bool retry_is_due(const task_key& step) const;
   std::vector<worker_view*> take_freed_workers();
   void count_evaluations(uint64_t n);
--- a/fleet/waiting-steps.cc
+++ b/fleet/waiting-steps.cc
@@ -29,13 +29,26 @@
     order.deadline = *since;
     order.standing = job_standing::interrupted;
     order.task_cpu = smallest_task_cpu(job);
-  } else if (waits_long(tracking.due_at) && has_new_task(job)) {
-    order.deadline = *tracking.due_at;
+  } else if (const auto due = new_tasks_due_since(number, job);
+             waits_long(due)) {
+    order.deadline = *due;
     order.standing = job_standing::in_time;
   }
   return order;
 }
 
+/// Since when tasks of the job that never started have been due, if any are.
+std::optional<time_point> fleet_scheduler::new_tasks_due_since(
+    job_number number, const job_entry& job) {
+  const auto found_at = tracking_of(number).due_at;
+  for (uint32_t time = 0; found_at && time < job.times.size(); ++time) {
+    const auto due = due_since(job, time);
+    if (!due) return std::nullopt;
+    if (has_new_task(job.times[time])) return std::max(*found_at, *due);
+  }
+  return std::nullopt;
+}
+
 /// The beginning of the longest outage among the job's pending tasks.
 std::optional<time_point> fleet_scheduler::interrupted_since(
     job_number number) const {
