--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -72,8 +72,7 @@
   const time_point now = clock_.now();
   delayed_step interrupted{
       book_.queue_of(job).priority(), now, first, 0, spec.cpu_milli(), false};
-  outages_.for_each(first.job, [&](const task_key& task, const auto& it) {
-    if (task.time != first.time || task.step != first.step) return;
+  outages_.for_each_of_step(first, [&](const task_key& task, const auto& it) {
     if (now - it.since < min_wait || !is_unplaced(task)) return;
     ++interrupted.tasks;
     interrupted.since = std::min(interrupted.since, it.since);
--- a/fleet/suspects.cc
+++ b/fleet/suspects.cc
@@ -73,9 +73,8 @@
 /// When a worker's next call is due is only an estimate, which was wrong then.
 bool fleet_scheduler::has_failed_start(const task_key& first) const {
   bool found = false;
-  outages_.for_each(first.job, [&](const task_key& task, const auto& it) {
-    found = found || (task.time == first.time && task.step == first.step &&
-                      it.failed_starts > 0 && is_unplaced(task));
+  outages_.for_each_of_step(first, [&](const task_key& task, const auto& it) {
+    found = found || (it.failed_starts > 0 && is_unplaced(task));
   });
   return found;
 }
--- a/fleet/task-outages.h
+++ b/fleet/task-outages.h
@@ -60,9 +60,16 @@
   /// Calls `visit` with each task of the job that has an outage, and with it.
   template <typename Visit>
   void for_each(job_number job, Visit visit) const {
-    for (auto it = outages_.lower_bound({job, 0, 0, 0});
-         it != outages_.end() && it->first.job == job; ++it)
-      visit(it->first, it->second);
+    visit_range({job, 0, 0, 0}, {job, UINT32_MAX, UINT32_MAX, UINT32_MAX},
+                visit);
+  }
+  /// The same for the tasks of the step whose first task is `first`.
+  template <typename Visit>
+  void for_each_of_step(task_key first, Visit visit) const {
+    task_key last = first;
+    first.index = 0;
+    last.index = UINT32_MAX;
+    visit_range(first, last, visit);
   }
   /// The outage of the task, or null.
   const task_outage* find(const task_key& task) const;
@@ -78,6 +85,13 @@
     bool began;
     std::string cause;
   };
+  template <typename Visit>
+  void visit_range(const task_key& first, const task_key& last,
+                   Visit& visit) const {
+    const auto end = outages_.upper_bound(last);
+    for (auto it = outages_.lower_bound(first); it != end; ++it)
+      visit(it->first, it->second);
+  }
   void add_start(const fleet::run_start& start);
   void end_run(const run_key& run, const ending& how);
   void forget(const fleet::job_list& jobs);
