--- a/fleet/task-outages.cc
+++ b/fleet/task-outages.cc
@@ -16,6 +16,11 @@
   return {to_key(it.task()), run_number(it.run())};
 }
 
+/// False for a run that was not started, or that only waited for its gang.
+bool worked(fleet::run_outcome outcome) {
+  return outcome != fleet::run_refused && outcome != fleet::run_alone;
+}
+
 const char* cause_of(const fleet::worker_loss& loss) {
   if (loss.silent()) return "lease-ended";
   return loss.gone() ? "worker-gone" : "withdrawn";
@@ -60,7 +65,7 @@
   for (const fleet::run_end& it : command.report().ends()) {
     const run_key run = detail::run_of(it);
     if (std::find(ended.begin(), ended.end(), run) == ended.end()) continue;
-    end_run(run, {now, it.outcome() != fleet::run_refused,
+    end_run(run, {now, detail::worked(it.outcome()),
                   fleet::run_outcome_Name(it.outcome())});
   }
   if (command.has_loss()) {
