--- a/fleet/controller-outages.cc
+++ b/fleet/controller-outages.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "fleet/controller.h"
+#include "fleet/run-presence.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -18,7 +19,7 @@
 /// one that never began would have been declared lost before.
 bool fleet_controller::counts_as_begun(const worker_view& it,
                                        const run_key& run) const {
-  if (it.has_heartbeat) return it.rows.contains(run);
+  if (it.has_heartbeat) return has_begun(it, run);
   const auto recorded_at = outages_.recorded_at(run);
   return !recorded_at ||
          clock_.now() - *recorded_at >= 2 * workers_.leases().expiry_delay();
--- a/fleet/delayed-steps.cc
+++ b/fleet/delayed-steps.cc
@@ -180,12 +180,13 @@
 void fleet_scheduler::report_late_start(const placement& it,
                                         bool long_running) {
   if (!long_running) return;
+  const time_point now = clock_.now();
   const task_outage* outage = outages_.find(it.task);
-  const time_point since =
-      outage != nullptr
-          ? outage->since
-          : tracking_of(it.task.job).due_at.value_or(clock_.now());
-  const milliseconds waited = clock_.now() - since;
+  const auto due = due_since(*book_.find(it.task.job), it.task.time);
+  const time_point due_at = std::max(
+      tracking_of(it.task.job).due_at.value_or(now), due.value_or(now));
+  const milliseconds waited =
+      now - (outage != nullptr ? outage->since : due_at);
   if (waited < detail::report_after) return;
   log_event(detail::service_name, log_level::warn, "lasting-starts-late")
       .with("task", to_text(it.task))
