--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -321,9 +321,8 @@
   }
   std::erase_if(it.sent_paces,
                 [&](const auto& p) { return !it.rows.contains(p.first); });
-  const auto is_over = [&](const auto& p) {
-    return !book_.runs_on(it.id).contains(p.first);
-  };
+  const auto& runs = book_.runs_on(it.id);
+  const auto is_over = [&](const auto& p) { return !runs.contains(p.first); };
   std::erase_if(it.starts_sent_at, is_over);
   std::erase_if(it.starts_first_sent_at, is_over);
 }
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -100,8 +100,12 @@
 /// Workers on which the current plan may place tasks.
 std::vector<worker_view*> fleet_scheduler::plan_candidates() {
   std::vector<worker_view*> all = candidates();
+  // A start that is recorded soon is withdrawn at this time unless it was sent.
+  const time_point call_needed_by =
+      clock_.now() + max_call_delay - detail::record_time;
   std::erase_if(all, [&](auto* it) {
-    return only_open_ ? !has_open_call(*it) : !calls_before_withdrawal(*it);
+    return only_open_ ? !has_open_call(*it)
+                      : !it->respond && it->call_due > call_needed_by;
   });
   return all;
 }
@@ -358,13 +362,6 @@
   return -detail::soon <= left && left <= detail::soon;
 }
 
-/// False if a start that is recorded soon would be withdrawn before the
-/// worker's next call.
-bool fleet_scheduler::calls_before_withdrawal(const worker_view& it) const {
-  return it.respond ||
-         it.call_due <= clock_.now() + max_call_delay - detail::record_time;
-}
-
 /// Score of the worker for a task of the step; none if it must not run there.
 std::optional<double> fleet_scheduler::score_if_allowed(
     const pending_step& step, const worker_view& it) const {
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -179,7 +179,6 @@
   bool is_evacuated(const worker_view& it) const;
   bool is_cold(const worker_view& it) const;
   bool calls_or_due_soon(const worker_view& it) const;
-  bool calls_before_withdrawal(const worker_view& it) const;
   pending_step pending_step_of(const job_entry& job, const task_key& first,
                                bool starved);
   void plan_job(const waiting_job& job, std::vector<worker_view*>& all,
