Log the leader's lag beside outages and starts in vain

Which of the hypotheses on a start that never began holds hangs on whether the leader was behind at that time; leader-load tells it once a second only while the leader is behind, and is dropped under the bound on volume.

--- a/fleet/controller-outages.cc
+++ b/fleet/controller-outages.cc
@@ -54,7 +54,8 @@
       .with("run", run.run.value())
       .with("worker", worker.id.str())
       .with("failed-starts", outage.failed_starts)
-      .with("starts", to_text(outage.starts, now));
+      .with("starts", to_text(outage.starts, now))
+      .with("lag-ms", lag_.lag().count());
 }
 
 }  // namespace kestrelreel
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -86,7 +86,8 @@
         .with("worker", it.id.str())
         .with("times", times)
         .with("lasting", is_long_running(run) ? "yes" : "no")
-        .with("call-overdue-ms", (clock_.now() - it.call_due).count());
+        .with("call-overdue-ms", (clock_.now() - it.call_due).count())
+        .with("lag-ms", lag_.lag().count());
   }
 }
 
