A worker is asked to call at once for starts that its answer can't carry

What callers saw: interrupted long-running tasks stayed down for longer than 9 s with free capacity, as two and more starts of each came to nothing.

Cause: a start's life was counted by a clock from its record (0.8 s), though only the worker's calls decide whether it is sent. An answer left after at most 0.5 s of waiting for the log, without the start, and told the worker to call after the usual interval, up to 1.1 s at 1,100 workers of a lagging leader. The start was withdrawn before, and its task placed again with the same chance: a write, a withdrawal and a search each time, from a leader that is behind.

Change: an answer that leaves while starts for its worker are in the log, or wait for a loss that is, asks for the next call after the busy interval. Starts are kept until that call is overdue, with one more call to another box; so they are where a call was answered too late. The wait of an answer for the log counts from the sending of the call, so that a late call's answer still arrives.

A start that was never sent can't begin, so that keeping it longer starts nothing twice.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -87,7 +87,7 @@
   const milliseconds max_wait =
       it.was_held ? settings_.idle_call_hold + detail::held_start_grace
                   : settings_.max_answer_wait;
-  if (clock_.now() - it.call_received_at >= max_wait) return true;
+  if (clock_.now() - it.call_received_at + it.delay >= max_wait) return true;
   return recorded && it.proposed_starts.empty() &&
          it.last_end_proposed <= book_.last_end(it.id);
 }
@@ -98,6 +98,8 @@
   const milliseconds age = clock_.now() - it.call_received_at + it.delay;
   if (age < workers_.leases().answer_limit) return false;
   ++metrics_.counter("kestrelreel_answers_late_total");
+  // The worker calls another box now.
+  it.starts_kept_until = clock_.now() + max_call_delay;
   std::exchange(it.respond, nullptr)(make_response(fleet::fleet_ok, "late"));
   return true;
 }
@@ -150,15 +152,28 @@
   return due;
 }
 
+/// True while starts for the worker can't be sent yet: they, or a loss of other
+/// runs there, are proposed and not yet applied.
+bool fleet_controller::starts_await_log(const worker_view& it) const {
+  return !it.proposed_starts.empty() ||
+         (!it.unsent_starts.empty() && pending_losses_.contains(it.id));
+}
+
 void fleet_controller::answer(worker_view& it) {
   ++load_.answers;
   fleet::fleet_response response;
   response.set_status(fleet::fleet_ok);
   *response.mutable_orders() = orders_for(it);
-  const milliseconds pause = heartbeat_interval(it);
+  const bool calls_for_starts = starts_await_log(it);
+  const milliseconds pause = calls_for_starts
+                                 ? settings_.busy_heartbeat_interval
+                                 : heartbeat_interval(it);
   response.mutable_orders()->set_next_beat_ms(
       static_cast<uint64_t>(pause.count()));
   workers_.granted(it, pause);
+  // A call that is not answered in time is followed by one to another box.
+  if (calls_for_starts)
+    it.starts_kept_until = it.overdue_at() + workers_.leases().answer_limit;
   std::exchange(it.respond, nullptr)(std::move(response));
 }
 
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -1,5 +1,6 @@
 // Declares runs lost that never began, and withdraws starts that were never
 // sent.
+#include <algorithm>
 #include <chrono>
 #include <vector>
 
@@ -61,8 +62,9 @@
     std::vector<run_key> withdrawn;
     for (const auto& [run, deadline] : it.unsent_starts) {
       const bool obsolete = should_stop(run);
-      if (!obsolete && now >= deadline) expired.push_back(run);
-      if (obsolete || now >= deadline) withdrawn.push_back(run);
+      const bool overdue = now >= std::max(deadline, it.starts_kept_until);
+      if (!obsolete && overdue) expired.push_back(run);
+      if (obsolete || overdue) withdrawn.push_back(run);
     }
     if (withdrawn.empty()) return !it.unsent_starts.empty();
     for (const run_key& run : withdrawn) it.unsent_starts.erase(run);
