A plan searches for workers once, also when it finds none

Cause: a step that finds no worker with an open call fills the plan's list of candidate workers. An empty list counted as not filled yet, so that each waiting step walked all workers again. A lagging leader places only where a call waits: at 1,100 workers it often has none, and each of its waiting steps cost a walk over all of them, in each turn.

Change: the list is an optional member beside that of workers with an open call, and is filled once a plan. Nothing else can fill it within a plan: calls and workers don't change while it is made.

--- a/fleet/placing.cc
+++ b/fleet/placing.cc
@@ -99,8 +99,7 @@
 }
 
 void fleet_scheduler::plan_step(const waiting_job& job, uint32_t time,
-                                uint32_t step, std::vector<worker_view*>& all,
-                                fleet::run_starts& out) {
+                                uint32_t step, fleet::run_starts& out) {
   const fleet::step_spec& spec = job.entry->spec.steps(static_cast<int>(step));
   const step_entry& entry = job.entry->times[time][step];
   // A gang starts as a whole, after all tasks of its earlier run ended.
@@ -115,7 +114,8 @@
   const size_t placed_on_open =
       place_on_open_workers(job, pending, waiting, out);
   if (placed_on_open >= waiting) return void(retry_at_.erase(first));
-  if (all.empty()) all = plan_candidates();
+  if (!plan_workers_) plan_workers_ = plan_candidates();
+  std::vector<worker_view*>& all = *plan_workers_;
   const std::vector<placement> placed =
       place_tasks(job, pending, retry ? all : freed_);
   if (retry) retry_at_.erase(first);
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -204,19 +204,18 @@
   fleet::run_starts out;
   freed_ = take_freed_workers();
   open_workers_.reset();
+  plan_workers_.reset();
   pool_uses_.clear();
   evaluations_left_ =
       settings_.max_plan_evaluations * detail::percent / stretch_percent;
   cut_short_ = false;
   const std::vector<waiting_job> jobs = waiting_jobs();
   if (jobs.empty()) return out;
-  // Candidate workers, filled by the first step that is tried.
-  std::vector<worker_view*> all;
   for (const waiting_job& it : jobs) {
     cut_short_ = evaluations_left_ == 0;
     plans_cut_short_ += cut_short_;
     if (cut_short_) return out;
-    plan_job(it, all, out);
+    plan_job(it, out);
   }
   return out;
 }
@@ -235,9 +234,7 @@
           spec.long_running() && has_failed_start(first)};
 }
 
-void fleet_scheduler::plan_job(const waiting_job& job,
-                               std::vector<worker_view*>& all,
-                               fleet::run_starts& out) {
+void fleet_scheduler::plan_job(const waiting_job& job, fleet::run_starts& out) {
   for (uint32_t time = 0; time < job.entry->times.size(); ++time) {
     if (!due_since(*job.entry, time)) return;
     const auto& steps = job.entry->times[time];
@@ -245,7 +242,7 @@
       const step_entry& it = steps[step];
       if (it.done + it.running >= it.tasks.size()) continue;
       if (!book_.dependencies_done(*job.entry, time, step)) continue;
-      plan_step(job, time, step, all, out);
+      plan_step(job, time, step, out);
     }
   }
 }
--- a/fleet/scheduler.h
+++ b/fleet/scheduler.h
@@ -181,10 +181,9 @@
   bool calls_or_due_soon(const worker_view& it) const;
   pending_step pending_step_of(const job_entry& job, const task_key& first,
                                bool starved);
-  void plan_job(const waiting_job& job, std::vector<worker_view*>& all,
-                fleet::run_starts& out);
+  void plan_job(const waiting_job& job, fleet::run_starts& out);
   void plan_step(const waiting_job& job, uint32_t time, uint32_t step,
-                 std::vector<worker_view*>& all, fleet::run_starts& out);
+                 fleet::run_starts& out);
   size_t count_proposed(const task_key& first) const;
   size_t place_on_open_workers(const waiting_job& job, const pending_step& step,
                                size_t wanted, fleet::run_starts& out);
@@ -354,6 +353,8 @@
   resources freed_max_;
   // Workers with an open call; filled by the first step of a plan.
   std::optional<std::vector<worker_view*>> open_workers_;
+  // The result of `plan_candidates` in the current plan, once a step needs it.
+  std::optional<std::vector<worker_view*>> plan_workers_;
   // Worker evaluations left to the current plan.
   uint64_t evaluations_left_ = 0;
   bool cut_short_ = false;
