A start is given up on a worker that is not known to get answers

Cause: starts were given up, and runs declared never begun, only once the spacing of the worker's calls showed that it got an answer. The guard stood for "the last list was sent after the last order could arrive": the leader's clock can't tell that of the first heartbeats, which may be delayed.

Why the fix works: the worker's own clock tells it. The leader keeps the clock of the last call whose answer carried the start. The worker makes one call at a time and drops an answer a second after its call, so that a list sent 1.5 s later by that clock, without the run, shows that it never begins, however late the list arrives and whichever answers were lost. That holds for this leader's orders. An earlier leader's may have arrived: a run that it placed is given up only when every lease granted before this leadership has ended. A run that began by such an order has ended with its lease, unless the worker got an answer of this leader, which answers a later call, and that call lists the run. Until shortly before, the start is sent on, so that a worker which hears the new leader late still begins it. The rule by the spacing of calls stays for earlier leaders' orders, and for workers that don't tell their clock; orders of this leader now need the worker's clock as well.

Left: a worker whose list of ends is full and that gets no answers keeps its task, as a run that has ended there might not be listed.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -324,7 +324,7 @@
   const auto& runs = book_.runs_on(it.id);
   const auto is_over = [&](const auto& p) { return !runs.contains(p.first); };
   std::erase_if(it.starts_sent_at, is_over);
-  std::erase_if(it.starts_first_sent_at, is_over);
+  std::erase_if(it.start_offers, is_over);
 }
 
 }  // namespace kestrelreel
--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -52,12 +52,21 @@
 /// are repeated; the other members of a gang wait for the run.
 bool fleet_controller::offer_expired(const worker_view& it,
                                      const run_key& run) const {
-  const auto sent = it.starts_first_sent_at.find(run);
-  if (sent == it.starts_first_sent_at.end() || !it.got_answer) return false;
+  const auto offer = it.start_offers.find(run);
+  if (offer == it.start_offers.end()) return false;
   const fleet::step_spec* step = book_.find_step(run.task);
   return step != nullptr && step->long_running() && !step->gang() &&
-         clock_.now() - sent->second >= detail::max_offer_time &&
-         !has_begun(it, run);
+         clock_.now() - offer->second.first_sent_at >= detail::max_offer_time &&
+         may_be_given_up(it, offer->second) && !has_begun(it, run);
+}
+
+/// False while the run could not be declared lost soon after the last order.
+bool fleet_controller::may_be_given_up(const worker_view& it,
+                                       const start_offer& offer) const {
+  if (it.got_answer) return true;
+  if (it.listed_clock_ms == 0) return false;
+  return offer.placed_here ||
+         clock_.now() + order_arrival_limit() >= earlier_leases_end();
 }
 
 /// The starts for an answer given now.
@@ -99,6 +108,14 @@
   return start;
 }
 
+void fleet_controller::record_offer(worker_view& it, const run_key& run) const {
+  const bool placed_here = it.unsent_starts.contains(run);
+  start_offer& offer =
+      it.start_offers.try_emplace(run, clock_.now(), 0, placed_here)
+          .first->second;
+  offer.call_clock_ms = it.beat.clock_ms();
+}
+
 /// Adds the starts that the worker lacks, up to the size of an answer that it
 /// accepts: it would drop a larger one whole, and its lease with it.
 void fleet_controller::add_starts(worker_view& it,
@@ -118,7 +135,7 @@
     if (used > settings_.max_answer_bytes) break;
     *orders.add_starts() = std::move(start);
     it.starts_sent_at[*next] = clock_.now();
-    it.starts_first_sent_at.try_emplace(*next, clock_.now());
+    record_offer(it, *next);
     it.unsent_starts.erase(*next);
     placed_in_vain_.erase(next->task);
     it.awaits_start = true;
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -26,21 +26,59 @@
   return workers_.leases().answer_limit + detail::order_margin;
 }
 
+/// When every lease has ended that an earlier leader granted.
+time_point fleet_controller::earlier_leases_end() const {
+  return led_since_ + workers_.leases().expiry_delay();
+}
+
+/// True when the worker sent its last list later than the last order for the
+/// run could arrive, by the leader's clock. The first heartbeats that a leader
+/// gets may date from before its leadership: their age is unknown until the
+/// worker is known to get this leader's answers.
+bool fleet_controller::listed_after_order(const worker_view& it,
+                                          const run_key& run) const {
+  const time_point sent_at = it.last_timely_heartbeat_at - it.delay;
+  return it.got_answer &&
+         sent_at - last_order_of(it, run) > order_arrival_limit();
+}
+
+/// True when no order of an earlier leader keeps the run alive, which the last
+/// list lacks. Once the leases of earlier leaders have ended, a run that began
+/// by such an order has either ended with them, or got an answer of this leader
+/// to a call that listed it.
+bool fleet_controller::earlier_orders_over(const worker_view& it,
+                                           const run_key& run) const {
+  if (listed_after_order(it, run)) return true;
+  return !defers_losses() &&
+         clock_.now() >= earlier_leases_end() + loss_grace();
+}
+
+/// True when no order can make the worker begin the run, which its last list
+/// lacks. This leader's orders are judged by the worker's clock alone, so that
+/// neither delayed heartbeats nor lost answers matter: a worker makes one call
+/// at a time, and drops an answer that comes later than `answer_limit` after
+/// its call.
+bool fleet_controller::orders_over(const worker_view& it,
+                                   const run_key& run) const {
+  const auto offer = it.start_offers.find(run);
+  if (it.listed_clock_ms == 0) return listed_after_order(it, run);
+  if (offer == it.start_offers.end()) return earlier_orders_over(it, run);
+  const milliseconds since_call(
+      static_cast<int64_t>(it.listed_clock_ms - offer->second.call_clock_ms));
+  return since_call > order_arrival_limit() &&
+         (offer->second.placed_here || earlier_orders_over(it, run));
+}
+
 /// Declares runs lost that must not start any more, or whose start doesn't
-/// reach the worker, and that it has not begun long after the last order. The
-/// first heartbeats that a leader gets may date from before its leadership:
-/// their age is unknown until the worker is known to get this leader's answers.
+/// reach the worker, and that it has not begun long after the last order.
 void fleet_controller::review_unstarted(worker_view& it) {
-  if (!it.got_answer || pending_losses_.contains(it.id)) return;
+  if (!it.has_heartbeat || pending_losses_.contains(it.id)) return;
   const bool can_start = accepts_starts(it) && !is_overcommitted(it);
   std::vector<run_key> lost;
   for (const run_key& run : book_.runs_on(it.id)) {
     if (presence_of(it, run) != run_presence::absent) continue;
     if (can_start && !should_stop(run) && !offer_expired(it, run)) continue;
-    // A run missing from a delayed heartbeat may have begun since.
-    const time_point sent_at = it.last_timely_heartbeat_at - it.delay;
-    if (sent_at - last_order_of(it, run) > order_arrival_limit())
-      lost.push_back(run);
+    if (orders_over(it, run)) lost.push_back(run);
   }
   if (!lost.empty()) propose_loss(it, lost, loss_cause::unstarted);
 }
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -214,6 +214,8 @@
   time_point last_order_of(const worker_view& it, const run_key& run) const;
   bool lacks_order(const worker_view& it, const run_key& run) const;
   bool offer_expired(const worker_view& it, const run_key& run) const;
+  bool may_be_given_up(const worker_view& it, const start_offer& offer) const;
+  void record_offer(worker_view& it, const run_key& run) const;
 
   // Outages of long-running tasks: controller-outages.cc.
   bool counts_as_begun(const worker_view& it, const run_key& run) const;
@@ -288,6 +290,10 @@
   void review_silence();
   // Starts that come to nothing: controller-unstarted.cc.
   milliseconds order_arrival_limit() const;
+  time_point earlier_leases_end() const;
+  bool listed_after_order(const worker_view& it, const run_key& run) const;
+  bool earlier_orders_over(const worker_view& it, const run_key& run) const;
+  bool orders_over(const worker_view& it, const run_key& run) const;
   void review_all_unstarted();
   void review_unstarted(worker_view& it);
   void review_unsent();
--- a/fleet/order-states-test-key.h
+++ b/fleet/order-states-test-key.h
@@ -100,7 +100,12 @@
   out.add_runs(it.unlisted_ends);
   out.add_runs(it.lapsed);
   out.add_times_of(it.starts_sent_at);
-  out.add_times_of(it.starts_first_sent_at);
+  for (const auto& [run, offer] : it.start_offers) {
+    out.add(run.run.value(), offer.placed_here,
+            it.beat.clock_ms() - offer.call_clock_ms);
+    out.add_time(offer.first_sent_at);
+  }
+  out.add(it.beat.clock_ms() - it.listed_clock_ms);
   out.add_times_of(it.unsent_starts);
   for (const auto& [run, step] : it.proposed_starts) out.add(run.run.value());
 }
--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -324,6 +324,7 @@
     it.predecessor = find_predecessor(it);
   }
   it.last_heartbeat_at = now;
+  it.listed_clock_ms = beat.clock_ms();
   it.lapsed.clear();
   if (timely) it.last_timely_heartbeat_at = now;
   it.has_heartbeat = true;
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -93,6 +93,15 @@
   return beat.max_ended() > 0 && listed >= beat.max_ended();
 }
 
+/// The orders by which this leader told a worker to start a run.
+struct start_offer {
+  time_point first_sent_at{};
+  /// The worker's clock in the last call whose answer carried the order.
+  uint64_t call_clock_ms = 0;
+  /// This leader placed the run: no earlier one can have sent an order for it.
+  bool placed_here = false;
+};
+
 /// One incarnation of a worker.
 struct worker_view {
   worker_id id;
@@ -130,6 +139,8 @@
   /// Another incarnation of the worker called later: this one gets no new
   /// tasks until it calls again.
   bool superseded = false;
+  /// The worker's clock when it sent the lists below; 0 if not told.
+  uint64_t listed_clock_ms = 0;
   /// The runs that the last heartbeat listed.
   std::map<run_key, fleet::running_row> rows;
   /// The runs whose end the last heartbeat listed, and those that have ended
@@ -139,9 +150,9 @@
   std::set<run_key> unlisted_ends;
   /// Progress of the runs that have an end, if run times are learned.
   std::map<run_key, run_state> run_states;
-  /// When the start order of a run was last sent, and when first.
+  /// When the start order of a run was last sent.
   std::map<run_key, time_point> starts_sent_at;
-  std::map<run_key, time_point> starts_first_sent_at;
+  std::map<run_key, start_offer> start_offers;
   /// Recorded runs of long-running tasks that no heartbeat has listed yet.
   std::set<run_key> awaited_runs;
   /// Committed starts that no answer has carried yet, with the time until which
