The spacing of calls without a clock shows no answer

What callers would see: a task in two places after a change of leader, where a worker tells no clock: delayed calls that it made in vain counted as answered ones, so that a run which an earlier leader's order began was declared lost within its lease.

Cause: an absent clock reads as 0, and the difference of two as no time at all.

--- a/fleet/worker-table.cc
+++ b/fleet/worker-table.cc
@@ -221,7 +221,8 @@
 /// about the limit or longer.
 bool worker_table::shows_answer(const worker_view& it,
                                 const fleet::worker_beat& next) const {
-  if (!it.has_heartbeat || next.sequence() != it.beat.sequence() + 1)
+  if (!it.has_heartbeat || next.sequence() != it.beat.sequence() + 1 ||
+      next.clock_ms() == 0)
     return false;
   const milliseconds elapsed(
       static_cast<int64_t>(next.clock_ms() - it.beat.clock_ms()));
