Unsent starts wait for whatever call can still take them

Cause: the start was withdrawn by the clock beside a call that was open; a suspect's start needs a second entry, which the condition for calling at once didn't know; a start without room in an answer waited for 0.8 s whatever the interval.

Change: a worker is asked to call at once while any start for it was in no answer; a start waits for the answer to a pending call as well, for 2 s more than its first deadline at most.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -152,11 +152,9 @@
   return due;
 }
 
-/// True while starts for the worker can't be sent yet: they, or a loss of other
-/// runs there, are proposed and not yet applied.
-bool fleet_controller::starts_await_log(const worker_view& it) const {
-  return !it.proposed_starts.empty() ||
-         (!it.unsent_starts.empty() && pending_losses_.contains(it.id));
+/// True while there are starts for the worker that no answer has carried.
+bool fleet_controller::has_unsent_starts(const worker_view& it) {
+  return !it.proposed_starts.empty() || !it.unsent_starts.empty();
 }
 
 void fleet_controller::answer(worker_view& it) {
@@ -164,7 +162,7 @@
   fleet::fleet_response response;
   response.set_status(fleet::fleet_ok);
   *response.mutable_orders() = orders_for(it);
-  const bool calls_for_starts = starts_await_log(it);
+  const bool calls_for_starts = has_unsent_starts(it);
   const milliseconds pause = calls_for_starts
                                  ? settings_.busy_heartbeat_interval
                                  : heartbeat_interval(it);
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -19,6 +19,17 @@
 /// Interval between reviews for runs that never began, per worker: reviewing
 /// one worker's runs takes 2 us.
 constexpr std::chrono::microseconds unstarted_review_per_worker{400};
+/// How much longer than its first deadline an unsent start is kept: some calls
+/// of a worker whose answers can't carry it, as when its capacity has shrunk.
+constexpr milliseconds max_extra_wait{2'000};
+
+/// Until when an unsent start waits for the answer to the worker's pending
+/// call, or for its next call.
+time_point kept_until(const worker_view& it, time_point deadline) {
+  const time_point latest = deadline + max_extra_wait;
+  return it.respond ? latest
+                    : std::clamp(it.starts_kept_until, deadline, latest);
+}
 
 }  // namespace detail
 
@@ -100,7 +111,7 @@
     std::vector<run_key> withdrawn;
     for (const auto& [run, deadline] : it.unsent_starts) {
       const bool obsolete = should_stop(run);
-      const bool overdue = now >= std::max(deadline, it.starts_kept_until);
+      const bool overdue = now >= detail::kept_until(it, deadline);
       if (!obsolete && overdue) expired.push_back(run);
       if (obsolete || overdue) withdrawn.push_back(run);
     }
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -158,8 +158,8 @@
   /// Committed starts that no answer has carried yet, with the time until which
   /// they wait for one.
   std::map<run_key, time_point> unsent_starts;
-  /// The worker is known to call again for starts that the last answer couldn't
-  /// carry: they are not withdrawn before.
+  /// By when the worker should have called again for starts that the last
+  /// answer didn't carry: they are not withdrawn before.
   time_point starts_kept_until{};
   /// Runs declared lost since the last heartbeat because their lease expired.
   /// The worker may still turn out to have crashed.
