--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -69,19 +69,11 @@
          clock_.now() + order_arrival_limit() >= earlier_leases_end();
 }
 
-/// True when the worker would drop an answer given now, if answers take half of
-/// what its last call came late by. An order in it would bind the task until it
-/// is repeated; one that waits for the next call can be withdrawn.
-bool fleet_controller::arrives_late(const worker_view& it) const {
-  const milliseconds age = clock_.now() - it.call_received_at + it.delay;
-  return age + it.call_lateness / 2 >= workers_.leases().answer_limit;
-}
-
 /// The starts for an answer given now.
 std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // None of the runs may begin while some of them are being declared lost.
   if (!accepts_starts(it) || pending_losses_.contains(it.id)) return {};
-  if (arrives_late(it) || is_overcommitted(it)) return {};
+  if (is_overcommitted(it)) return {};
   std::vector<run_key> out;
   for (const run_key& run : book_.runs_on(it.id)) {
     const bool ended =
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -215,7 +215,6 @@
   time_point last_order_of(const worker_view& it, const run_key& run) const;
   bool lacks_order(const worker_view& it, const run_key& run) const;
   bool offer_expired(const worker_view& it, const run_key& run) const;
-  bool arrives_late(const worker_view& it) const;
   bool may_be_given_up(const worker_view& it, const start_offer& offer) const;
   void record_offer(worker_view& it, const run_key& run) const;
 
