--- a/fleet/controller-starts.cc
+++ b/fleet/controller-starts.cc
@@ -73,6 +73,10 @@
 std::vector<run_key> fleet_controller::starts_for(worker_view& it) {
   // None of the runs may begin while some of them are being declared lost.
   if (!accepts_starts(it) || pending_losses_.contains(it.id)) return {};
+  // An order in an answer that the worker drops occupies capacity uselessly
+  // until the worker's next heartbeat; an order that was never sent can be
+  // withdrawn.
+  if (lag_.behind() && !scheduler_.has_open_call(it)) return {};
   if (is_overcommitted(it)) return {};
   std::vector<run_key> out;
   for (const run_key& run : book_.runs_on(it.id)) {
