Only starts of long-running tasks call their worker at once

Cause: nearly every worker has a start of a short task on its way at any time, so that all were asked to call at once whenever an answer left without one.

Change: calls at once, and longer waits, are for starts of long-running tasks; short tasks are withdrawn after 0.8 s as before. The wait of an answer for the log counts from the call's arrival again.

--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -87,7 +87,7 @@
   const milliseconds max_wait =
       it.was_held ? settings_.idle_call_hold + detail::held_start_grace
                   : settings_.max_answer_wait;
-  if (clock_.now() - it.call_received_at + it.delay >= max_wait) return true;
+  if (clock_.now() - it.call_received_at >= max_wait) return true;
   return recorded && it.proposed_starts.empty() &&
          it.last_end_proposed <= book_.last_end(it.id);
 }
@@ -152,9 +152,15 @@
   return due;
 }
 
-/// True while there are starts for the worker that no answer has carried.
-bool fleet_controller::has_unsent_starts(const worker_view& it) {
-  return !it.proposed_starts.empty() || !it.unsent_starts.empty();
+/// True while there are starts of long-running tasks for the worker that no
+/// answer has carried. Most workers have starts of short tasks on their way at
+/// any time: asking them all to call at once would feed the lag.
+bool fleet_controller::awaits_long_running_start(const worker_view& it) const {
+  return std::any_of(it.proposed_starts.begin(), it.proposed_starts.end(),
+                     [](const auto& p) { return p.second.long_running(); }) ||
+         std::any_of(
+             it.unsent_starts.begin(), it.unsent_starts.end(),
+             [this](const auto& p) { return is_long_running(p.first); });
 }
 
 void fleet_controller::answer(worker_view& it) {
@@ -162,7 +168,7 @@
   fleet::fleet_response response;
   response.set_status(fleet::fleet_ok);
   *response.mutable_orders() = orders_for(it);
-  const bool calls_for_starts = has_unsent_starts(it);
+  const bool calls_for_starts = awaits_long_running_start(it);
   const milliseconds pause = calls_for_starts
                                  ? settings_.busy_heartbeat_interval
                                  : heartbeat_interval(it);
--- a/fleet/controller-unstarted.cc
+++ b/fleet/controller-unstarted.cc
@@ -23,8 +23,8 @@
 /// of a worker whose answers can't carry it, as when its capacity has shrunk.
 constexpr milliseconds max_extra_wait{2'000};
 
-/// Until when an unsent start waits for the answer to the worker's pending
-/// call, or for its next call.
+/// Until when the unsent start of a long-running task waits for the answer to
+/// the worker's pending call, or for its next call.
 time_point kept_until(const worker_view& it, time_point deadline) {
   const time_point latest = deadline + max_extra_wait;
   return it.respond ? latest
@@ -111,7 +111,9 @@
     std::vector<run_key> withdrawn;
     for (const auto& [run, deadline] : it.unsent_starts) {
       const bool obsolete = should_stop(run);
-      const bool overdue = now >= detail::kept_until(it, deadline);
+      const bool overdue =
+          now >=
+          (is_long_running(run) ? detail::kept_until(it, deadline) : deadline);
       if (!obsolete && overdue) expired.push_back(run);
       if (obsolete || overdue) withdrawn.push_back(run);
     }
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -191,7 +191,7 @@
   bool reject_late_call(worker_view& it);
   bool awaits_start(const worker_view& it) const;
   bool answer_is_due(const worker_view& it, bool recorded) const;
-  static bool has_unsent_starts(const worker_view& it);
+  bool awaits_long_running_start(const worker_view& it) const;
   void answer(worker_view& it);
   milliseconds heartbeat_interval(const worker_view& it) const;
   milliseconds interval_for(uint64_t calls_per_s) const;
