--- a/fleet/controller-orders.cc
+++ b/fleet/controller-orders.cc
@@ -98,6 +98,8 @@
   const milliseconds age = clock_.now() - it.call_received_at + it.delay;
   if (age < workers_.leases().answer_limit) return false;
   ++metrics_.counter("kestrelreel_answers_late_total");
+  // The worker calls another box now.
+  it.starts_kept_until = clock_.now() + max_call_delay;
   std::exchange(it.respond, nullptr)(make_response(fleet::fleet_ok, "late"));
   return true;
 }
@@ -150,15 +152,32 @@
   return due;
 }
 
+/// True while there are starts of long-running tasks for the worker that no
+/// answer has carried. Most workers have starts of short tasks on their way at
+/// any time: asking them all to call at once would feed the lag.
+bool fleet_controller::awaits_long_running_start(const worker_view& it) const {
+  return std::any_of(it.proposed_starts.begin(), it.proposed_starts.end(),
+                     [](const auto& p) { return p.second.long_running(); }) ||
+         std::any_of(
+             it.unsent_starts.begin(), it.unsent_starts.end(),
+             [this](const auto& p) { return is_long_running(p.first); });
+}
+
 void fleet_controller::answer(worker_view& it) {
   ++load_.answers;
   fleet::fleet_response response;
   response.set_status(fleet::fleet_ok);
   *response.mutable_orders() = orders_for(it);
-  const milliseconds pause = heartbeat_interval(it);
+  const bool calls_for_starts = awaits_long_running_start(it);
+  const milliseconds pause = calls_for_starts
+                                 ? settings_.busy_heartbeat_interval
+                                 : heartbeat_interval(it);
   response.mutable_orders()->set_next_beat_ms(
       static_cast<uint64_t>(pause.count()));
   workers_.granted(it, pause);
+  // A call that is not answered in time is followed by one to another box.
+  if (calls_for_starts)
+    it.starts_kept_until = it.overdue_at() + workers_.leases().answer_limit;
   std::exchange(it.respond, nullptr)(std::move(response));
 }
 
@@ -324,7 +343,7 @@
   const auto& runs = book_.runs_on(it.id);
   const auto is_over = [&](const auto& p) { return !runs.contains(p.first); };
   std::erase_if(it.starts_sent_at, is_over);
-  std::erase_if(it.starts_first_sent_at, is_over);
+  std::erase_if(it.start_offers, is_over);
 }
 
 }  // namespace kestrelreel
--- a/fleet/controller.h
+++ b/fleet/controller.h
@@ -191,6 +191,7 @@
   bool reject_late_call(worker_view& it);
   bool awaits_start(const worker_view& it) const;
   bool answer_is_due(const worker_view& it, bool recorded) const;
+  bool awaits_long_running_start(const worker_view& it) const;
   void answer(worker_view& it);
   milliseconds heartbeat_interval(const worker_view& it) const;
   milliseconds interval_for(uint64_t calls_per_s) const;
@@ -214,6 +215,8 @@
   time_point last_order_of(const worker_view& it, const run_key& run) const;
   bool lacks_order(const worker_view& it, const run_key& run) const;
   bool offer_expired(const worker_view& it, const run_key& run) const;
+  bool may_be_given_up(const worker_view& it, const start_offer& offer) const;
+  void record_offer(worker_view& it, const run_key& run) const;
 
   // Outages of long-running tasks: controller-outages.cc.
   bool counts_as_begun(const worker_view& it, const run_key& run) const;
@@ -288,6 +291,10 @@
   void review_silence();
   // Starts that come to nothing: controller-unstarted.cc.
   milliseconds order_arrival_limit() const;
+  time_point earlier_leases_end() const;
+  bool listed_after_order(const worker_view& it, const run_key& run) const;
+  bool earlier_orders_over(const worker_view& it, const run_key& run) const;
+  bool orders_over(const worker_view& it, const run_key& run) const;
   void review_all_unstarted();
   void review_unstarted(worker_view& it);
   void review_unsent();
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -93,6 +93,15 @@
   return beat.max_ended() > 0 && listed >= beat.max_ended();
 }
 
+/// The orders by which this leader told a worker to start a run.
+struct start_offer {
+  time_point first_sent_at{};
+  /// The worker's clock in the last call whose answer carried the order.
+  uint64_t call_clock_ms = 0;
+  /// This leader placed the run: no earlier one can have sent an order for it.
+  bool placed_here = false;
+};
+
 /// One incarnation of a worker.
 struct worker_view {
   worker_id id;
@@ -130,6 +139,8 @@
   /// Another incarnation of the worker called later: this one gets no new
   /// tasks until it calls again.
   bool superseded = false;
+  /// The worker's clock when it sent the lists below; 0 if not told.
+  uint64_t listed_clock_ms = 0;
   /// The runs that the last heartbeat listed.
   std::map<run_key, fleet::running_row> rows;
   /// The runs whose end the last heartbeat listed, and those that have ended
@@ -139,14 +150,17 @@
   std::set<run_key> unlisted_ends;
   /// Progress of the runs that have an end, if run times are learned.
   std::map<run_key, run_state> run_states;
-  /// When the start order of a run was last sent, and when first.
+  /// When the start order of a run was last sent.
   std::map<run_key, time_point> starts_sent_at;
-  std::map<run_key, time_point> starts_first_sent_at;
+  std::map<run_key, start_offer> start_offers;
   /// Recorded runs of long-running tasks that no heartbeat has listed yet.
   std::set<run_key> awaited_runs;
   /// Committed starts that no answer has carried yet, with the time until which
   /// they wait for one.
   std::map<run_key, time_point> unsent_starts;
+  /// By when the worker should have called again for starts that the last
+  /// answer didn't carry: they are not withdrawn before.
+  time_point starts_kept_until{};
   /// Runs declared lost since the last heartbeat because their lease expired.
   /// The worker may still turn out to have crashed.
   std::set<run_key> lapsed;
@@ -218,6 +232,9 @@
   /// answer set; 0 before the first answer.
   time_point call_due{};
   milliseconds call_interval{0};
+  /// How long after its due time the last call that was not early arrived: the
+  /// transit of the answer before and of the call.
+  milliseconds call_lateness{0};
   /// The timing of its calls shows that the worker got an answer of this
   /// leader, so they are not delayed calls of a dead incarnation.
   bool got_answer = false;
@@ -229,6 +246,8 @@
   /// a millisecond.
   int64_t drift_remainder = 0;
 
+  /// When the next call arrives if it takes as long as the last one.
+  time_point next_call_at() const { return call_due + call_lateness; }
   /// Time by which the next call of a live worker has arrived.
   time_point overdue_at() const { return call_due + max_call_delay; }
 };
