--- a/fleet/controller-workers.cc
+++ b/fleet/controller-workers.cc
@@ -126,10 +126,6 @@
   scheduler_.progress().observe_rows(it);
   it.respond = respond;
   it.call_received_at = clock_.now();
-  if (it.call_due != time_point{} && it.call_received_at >= it.call_due) {
-    it.call_lateness = std::min(it.call_received_at - it.call_due,
-                                workers_.leases().answer_limit);
-  }
   if (held && hold_call(it)) return held();
   workers_.groups().calling.add(it);
   update_paces_if_due(it);
--- a/fleet/scheduler.cc
+++ b/fleet/scheduler.cc
@@ -105,7 +105,7 @@
       clock_.now() + max_call_delay - detail::record_time;
   std::erase_if(all, [&](auto* it) {
     return only_open_ ? !has_open_call(*it)
-                      : !it->respond && it->next_call_at() > call_needed_by;
+                      : !it->respond && it->call_due > call_needed_by;
   });
   return all;
 }
@@ -355,7 +355,7 @@
 /// whose call is late may be lost.
 bool fleet_scheduler::calls_or_due_soon(const worker_view& it) const {
   if (it.respond) return has_open_call(it);
-  const milliseconds left = it.next_call_at() - clock_.now();
+  const milliseconds left = it.call_due - clock_.now();
   return -detail::soon <= left && left <= detail::soon;
 }
 
--- a/fleet/worker-table.h
+++ b/fleet/worker-table.h
@@ -232,9 +232,6 @@
   /// answer set; 0 before the first answer.
   time_point call_due{};
   milliseconds call_interval{0};
-  /// How long after its due time the last call that was not early arrived: the
-  /// transit of the answer before and of the call.
-  milliseconds call_lateness{0};
   /// The timing of its calls shows that the worker got an answer of this
   /// leader, so they are not delayed calls of a dead incarnation.
   bool got_answer = false;
@@ -246,8 +243,6 @@
   /// a millisecond.
   int64_t drift_remainder = 0;
 
-  /// When the next call arrives if it takes as long as the last one.
-  time_point next_call_at() const { return call_due + call_lateness; }
   /// Time by which the next call of a live worker has arrived.
   time_point overdue_at() const { return call_due + max_call_delay; }
 };
