--- a/fleet/withdrawn-between-calls-test.cc
+++ b/fleet/withdrawn-between-calls-test.cc
@@ -55,8 +55,7 @@
 
 TEST_GROUP(withdrawn_between_calls){};
 
-// Starts were withdrawn 0.8 s after their record, while each answer left
-// without them and the next call was due later: up to four times for one task.
+// A start waits for its worker's next call, however late the log records it.
 TEST(withdrawn_between_calls, start_is_withdrawn_before_the_next_call) {
   const row rows[] = {
       {"answers take 1 ms", {.answer = 1'000}},
