Trailers and a chunk's line have the header's limit

Callers saw a box that ran out of memory: four clients with trailers without an end, or a chunk's extension without one, made it hold what they sent.

Cause: the library's parser looks for the end of a chunk's line, and of all trailers, before it takes a byte of them. Its limits count the header and the body; what it can't take yet stays in the buffer, which had no limit.

parse_request now refuses with 431 what stays in the buffer beyond the header's limit: after each step that is one header, one line of a chunk, or the trailers, as all else is taken. The fuzz target checks for every input that what waits is within the limits.

--- a/net/http-head-test.cc
+++ b/net/http-head-test.cc
@@ -35,7 +35,7 @@
     buffer.commit(boost::asio::buffer_copy(
         buffer.prepare(n), boost::asio::buffer(bytes.data(), n)));
     bytes.remove_prefix(n);
-    ec = parse_request(parser, buffer);
+    ec = parse_request(parser, buffer, limits);
   }
   outcome it;
   it.whole = !ec;
@@ -85,6 +85,13 @@
      "", "", 0},
     {"chunks over the limit", chunks + "6\r\nabcdef\r\n5\r\nabcde\r\n0\r\n\r\n",
      false, 413, "", "", 0},
+    {"trailers without an end",
+     chunks + "0\r\nT: u\r\n" + std::string(120, 'T') + ": u\r\n", false, 431,
+     "", "", 0},
+    {"a trailer's line without an end",
+     chunks + "0\r\nT: " + std::string(120, 'u'), false, 431, "", "", 0},
+    {"a chunk's extension without an end",
+     chunks + "2;x=" + std::string(120, 'y'), false, 431, "", "", 0},
     {"a head over the limit", post + "X: " + std::string(120, 'x') + "\r\n\r\n",
      false, 431, "", "", 0},
 };
--- a/net/http-head.cc
+++ b/net/http-head.cc
@@ -36,7 +36,8 @@
 }
 
 boost::system::error_code parse_request(http_request_parser& parser,
-                                        boost::beast::flat_buffer& buffer) {
+                                        boost::beast::flat_buffer& buffer,
+                                        const http_limits& limits) {
   namespace http = boost::beast::http;
   const bool in_chunks = parser.is_header_done() && parser.chunked();
   const size_t least = in_chunks ? detail::least_of_chunks : 1;
@@ -45,6 +46,11 @@
   parser.eager(true);
   buffer.consume(parser.put(buffer.data(), ec));
   if (!ec && !parser.is_done()) ec = http::error::need_more;
+  // The library takes no byte of a chunk's line or of the trailers before their
+  // end, and its own limits count neither.
+  if (ec == http::error::need_more && buffer.size() > limits.header_bytes) {
+    ec = http::error::header_limit;
+  }
   return ec;
 }
 
--- a/net/http-head.h
+++ b/net/http-head.h
@@ -18,9 +18,11 @@
 void limit_request(http_request_parser& parser, const http_limits& limits);
 
 /// Hands what the buffer holds to the parser. Fails with `need_more` until the
-/// request is whole, and with any other error on one that is not sound.
+/// request is whole, and with any other error on one that is not sound or whose
+/// header, trailers or line of a chunk is larger than the header may be.
 boost::system::error_code parse_request(http_request_parser& parser,
-                                        boost::beast::flat_buffer& buffer);
+                                        boost::beast::flat_buffer& buffer,
+                                        const http_limits& limits);
 
 /// The answer to a request that is not sound: 400, 413 or 431; 0 for one that
 /// is whole or may become so.
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -58,7 +58,8 @@
   }
 
   void parse() {
-    const beast::error_code ec = parse_request(*parser_, buffer_);
+    const beast::error_code ec =
+        parse_request(*parser_, buffer_, owner_.limits_);
     if (ec != http::error::need_more) return on_read(ec);
     read_some([](session& it) { it.parse(); });
   }
--- a/support/fuzzing/http-head-fuzz.cc
+++ b/support/fuzzing/http-head-fuzz.cc
@@ -34,13 +34,24 @@
   if (!whole || !sound) std::abort();
 }
 
+/// What waits for more bytes is within the limits.
+void check_kept(http_request_parser& parser, const beast::flat_buffer& buffer,
+                boost::system::error_code ec, const http_limits& limits) {
+  if (ec != beast::http::error::need_more) return;
+  const bool within = buffer.size() <= limits.header_bytes &&
+                      parser.get().body().size() <= limits.body_bytes;
+  if (!within) std::abort();
+}
+
 /// The bytes arrive in pieces, and the connection ends after them.
 boost::system::error_code read_one(http_request_parser& parser,
                                    beast::flat_buffer& buffer,
                                    std::string_view& bytes, size_t piece) {
-  limit_request(parser, http_limits());
+  const http_limits limits;
+  limit_request(parser, limits);
   while (true) {
-    const auto ec = parse_request(parser, buffer);
+    const auto ec = parse_request(parser, buffer, limits);
+    check_kept(parser, buffer, ec, limits);
     if (ec != beast::http::error::need_more || bytes.empty()) return ec;
     const size_t n = std::min(piece, bytes.size());
     buffer.commit(boost::asio::buffer_copy(
