One budget of memory for what HTTP clients hold

Callers saw a box that ran out of memory, or slowed down, while some hundred clients each stayed within their limits: bodies that stop short of their end, headers of many short fields, whole requests that wait, answers that nobody reads.

Cause: each connection had its limits, and nothing counted all of them: 2,000 connections times 4 MiB are 8 GB on a control box of 256 MB.

memory_budget counts what the connections of all HTTP addresses of a process hold beyond 16 KiB each, a quarter of the new setting `memory`. When it is spent, whoever made no step for 0.5 s gives way, then whoever holds at least as much as the asker, the largest first; else the asker is refused. So a small request passes beside any number of large ones. A request that may run does not give way, so that the 503 is true; the one that is alone is never refused, so that a request at the limits is served in calm. A refused connection is read on for 1 s, as a close with unread bytes resets it and the client would not read its answer. Answers go out in pieces of 64 KiB, that the rest can be dropped at once.

A string that is assigned an empty one keeps its memory: free_text.

--- a/base/text.h
+++ b/base/text.h
@@ -49,6 +49,9 @@
 /// Upper bound of the text's size as the content of a JSON string.
 size_t json_size(std::string_view text);
 
+/// Empties a text and gives its memory back, which an assignment may keep.
+inline void free_text(std::string& text) { std::string().swap(text); }
+
 /// Splits an `IP:PORT` text; false when it has no such form.
 bool split_address(std::string_view text, std::string& host, uint16_t& port);
 
--- a/config/reader.cc
+++ b/config/reader.cc
@@ -165,6 +165,14 @@
   return fallback.value_or(byte_count());
 }
 
+byte_count read_box_memory(object_reader& all, byte_count fallback) {
+  constexpr byte_count least{64 << 20};
+  const byte_count n = all.bytes("memory", fallback);
+  if (n >= least) return n;
+  all.fault("memory", format_bytes(n), "at least \"64MiB\"");
+  return fallback;
+}
+
 milliseconds object_reader::duration(std::string_view name, milliseconds least,
                                      std::optional<milliseconds> fallback) {
   const std::string allowed =
--- a/config/reader.h
+++ b/config/reader.h
@@ -122,6 +122,9 @@
   std::vector<std::string> known_;
 };
 
+/// The member `memory` of a settings file: what the box has, 64 MiB at least.
+byte_count read_box_memory(object_reader& all, byte_count fallback);
+
 /// True for a name that things may have: see `object_reader::each`.
 bool is_valid_name(std::string_view name);
 
--- a/config/seeded-settings-test.cc
+++ b/config/seeded-settings-test.cc
@@ -33,7 +33,7 @@
   const std::string text =
       control(R"(, "data_folder": "/d", "found_cluster": true,
       "worker_hold": "4s", "worker_stop": "200ms", "losses_tolerated": 2,
-      "data_centres": ["kumluca", "demre"])");
+      "memory": "640MiB", "data_centres": ["kumluca", "demre"])");
   CHECK_TRUE(is_seeded(text));
   const auto parsed = parse_seeded_settings("f", text);
   const auto* it = std::get_if<seeded_settings>(&parsed);
@@ -45,6 +45,7 @@
   LONGS_EQUAL(4'000, it->worker_hold.count());
   LONGS_EQUAL(200, it->worker_stop.count());
   LONGS_EQUAL(2, it->losses_tolerated);
+  LONGS_EQUAL(640 << 20, it->memory.value);
   LONGS_EQUAL(2, it->data_centres.size());
   STRCMP_EQUAL("demre", it->data_centres[1].c_str());
 }
--- a/config/seeded-settings.cc
+++ b/config/seeded-settings.cc
@@ -75,6 +75,7 @@
   read_seeds(all, settings);
   settings.found_cluster = all.flag("found_cluster", false);
   settings.data_folder = all.text("data_folder", "");
+  settings.memory = read_box_memory(all, settings.memory);
   settings.losses_tolerated = static_cast<unsigned>(all.number(
       "losses_tolerated", {0, most_losses}, settings.losses_tolerated));
   settings.worker_hold =
--- a/config/seeded-settings.h
+++ b/config/seeded-settings.h
@@ -47,6 +47,8 @@
   bool found_cluster = false;
   /// Empty on boxes without a disk.
   std::string data_folder;
+  /// The box's memory; what connections may hold is a part of it.
+  byte_count memory{256 << 20};
   /// Control boxes that may be lost at once.
   unsigned losses_tolerated = 1;
   /// What a heartbeat's answer lets a worker run on for.
--- a/config/settings-test.cc
+++ b/config/settings-test.cc
@@ -62,6 +62,8 @@
        "/leases/holder: found \"1ms\""},
       {"\"platform\"", "\"log_level\": \"loud\", \"platform\"",
        "/log_level: found \"loud\", allowed: one of debug"},
+      {"\"platform\"", "\"memory\": \"1MiB\", \"platform\"",
+       "/memory: found 1MiB, allowed: at least \"64MiB\""},
       {"\"platform\"", "\"placement_policy\": \"x\", \"platform\"",
        "/placement_policy: found \"x\""},
   };
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -26,6 +26,7 @@
       all.node("data_folder");
     }
     settings_.platform_address = all.address("platform");
+    settings_.memory = read_box_memory(all, settings_.memory);
     settings_.log_level = all.word(
         "log_level", {"debug", "info", "warn", "error"}, settings_.log_level);
     settings_.placement_policy =
--- a/config/settings.h
+++ b/config/settings.h
@@ -41,6 +41,8 @@
   std::string data_folder;
   /// Where the platform lists the workers of this data centre.
   std::string platform_address;
+  /// The box's memory; what connections may hold is a part of it.
+  byte_count memory{256 << 20};
   std::string log_level = "info";
   std::string placement_policy = "packing";
   request_limits limits;
--- a/daemon/front-service.cc
+++ b/daemon/front-service.cc
@@ -9,6 +9,8 @@
 constexpr unsigned status_not_ready = 503;
 /// A worker's report may be that large.
 constexpr uint64_t control_body_bytes = 4 << 20;
+/// The balancer's question has no body.
+constexpr uint64_t question_body_bytes = 4 << 10;
 
 }  // namespace detail
 
@@ -24,7 +26,8 @@
 absl::Status front_service::start_control(fleet_record_service& record) {
   control_ = std::make_unique<platform::control_front>(record);
   main_ = std::make_unique<http_service>(
-      context_.io, [this](const http_call& call, auto respond) {
+      context_.io, context_.http_memory, "control",
+      [this](const http_call& call, auto respond) {
         control_->handle(call, std::move(respond));
       });
   http_limits limits;
@@ -37,18 +40,22 @@
   callers_ = std::make_unique<platform::callers_front>(gateway);
   gateway.on_bounds([this](const auto& bounds) { set_bounds(bounds); });
   main_ = std::make_unique<http_service>(
-      context_.io,
+      context_.io, context_.http_memory, "callers",
       [this](const http_call& call, auto respond) {
         callers_->handle(call, std::move(respond));
       },
       platform::deadline_header);
   readiness_ = std::make_unique<http_service>(
-      context_.io, [this, &gateway](const http_call&, auto respond) {
+      context_.io, context_.http_memory, "readiness",
+      [this, &gateway](const http_call&, auto respond) {
         http_answer answer;
         const bool ready = gateway.ready() && !context_.stopping;
         answer.status = ready ? detail::status_ready : detail::status_not_ready;
         respond(answer);
       });
+  http_limits question;
+  question.body_bytes = detail::question_body_bytes;
+  readiness_->set_limits(question);
   const absl::Status status =
       readiness_->listen(context_.settings.readiness_address);
   if (!status.ok()) return status;
--- a/daemon/process-context.h
+++ b/daemon/process-context.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <utility>
 
 #include "base/clock.h"
 #include "config/settings.h"
+#include "daemon/memory-limits.h"
 #include "daemon/repeating-timer.h"
 #include "kernel/metrics.h"
+#include "net/memory-budget.h"
 
 namespace kestrelreel {
 
@@ -22,11 +25,20 @@
 
 /// The thread of the decisions, time, chance, settings and metrics.
 struct process_context {
-  boost::asio::io_context io{1};
   boot_clock clock;
   seeded_random random{0};
   process_settings settings;
   metrics_registry metrics;
+  memory_budget http_memory{clock, metrics, "http",
+                            http_memory_of(settings.memory)};
+  /// Connections hold their part of the budget until it ends.
+  boost::asio::io_context io{1};
+
+  void set_settings(process_settings it) {
+    settings = std::move(it);
+    http_memory.set_limit(http_memory_of(settings.memory));
+  }
+
   /// Rises with every start of this box.
   uint64_t incarnation = 0;
   /// Founds a new cluster with the replicas that the settings name.
--- a/daemon/process.cc
+++ b/daemon/process.cc
@@ -23,7 +23,7 @@
 
 process::process(process_settings settings, bool new_cluster)
     : signals_(context_.io), stop_timer_(context_.io) {
-  context_.settings = std::move(settings);
+  context_.set_settings(std::move(settings));
   context_.new_cluster = new_cluster;
   context_.incarnation = wall_clock_ms();
 }
--- a/daemon/seeded-context.h
+++ b/daemon/seeded-context.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <utility>
 
 #include "base/clock.h"
 #include "config/seeded-settings.h"
+#include "daemon/memory-limits.h"
 #include "kernel/metrics.h"
+#include "net/memory-budget.h"
 
 namespace kestrelreel {
 
@@ -19,11 +22,20 @@
 
 /// The thread of the decisions, time, chance, settings and metrics.
 struct seeded_context {
-  boost::asio::io_context io{1};
   boot_clock clock;
   seeded_random random{0};
   seeded_settings settings;
   metrics_registry metrics;
+  /// Of the HTTP addresses.
+  memory_budget http_memory{clock, metrics, "http",
+                            http_memory_of(settings.memory)};
+  /// Connections hold their part of the budget until it ends.
+  boost::asio::io_context io{1};
+
+  void set_settings(seeded_settings it) {
+    settings = std::move(it);
+    http_memory.set_limit(http_memory_of(settings.memory));
+  }
   /// True once a planned stop began.
   bool stopping = false;
   /// Callers have their answers by then; set by a planned stop.
--- a/daemon/seeded-process.cc
+++ b/daemon/seeded-process.cc
@@ -41,7 +41,7 @@
       signals_(context_.io),
       stop_timer_(context_.io),
       reload_timer_(context_.io) {
-  context_.settings = std::move(settings);
+  context_.set_settings(std::move(settings));
   // A signal may come while the services start, which takes long on a busy box.
   watch_signals();
 }
--- a/net/http-head.cc
+++ b/net/http-head.cc
@@ -26,6 +26,9 @@
 /// such a request, so that more is still to come.
 constexpr size_t least_of_chunks = 5;
 
+/// What a field takes besides its name and value.
+constexpr size_t bytes_per_field = 96;
+
 std::string text_of(beast::string_view s) { return {s.data(), s.size()}; }
 
 }  // namespace detail
@@ -54,6 +57,14 @@
   return ec;
 }
 
+size_t field_bytes(const http_request_parser& parser) {
+  size_t n = 0;
+  for (const auto& it : parser.get().base()) {
+    n += detail::bytes_per_field + it.name_string().size() + it.value().size();
+  }
+  return n;
+}
+
 unsigned refusal_of(boost::system::error_code ec) {
   namespace http = boost::beast::http;
   if (!ec || ec == http::error::need_more) return 0;
--- a/net/http-head.h
+++ b/net/http-head.h
@@ -24,6 +24,9 @@
                                         boost::beast::flat_buffer& buffer,
                                         const http_limits& limits);
 
+/// Bytes of memory that the fields of a request's header take.
+size_t field_bytes(const http_request_parser& parser);
+
 /// The answer to a request that is not sound: 400, 413 or 431; 0 for one that
 /// is whole or may become so.
 unsigned refusal_of(boost::system::error_code ec);
--- a/net/http-service-test.cc
+++ b/net/http-service-test.cc
@@ -34,9 +34,13 @@
 }  // namespace
 
 TEST_GROUP(http_service_answers) {
+  boot_clock clock;
+  metrics_registry metrics;
+  memory_budget memory{clock, metrics, "http", {64 << 20}};
   boost::asio::io_context io;
   int calls = 0;
   bool answers = true;
+  std::string body;
   std::vector<http_service::respond_function> held;
   std::unique_ptr<http_service> service;
   // What the caller got, and whether the server ended the connection.
@@ -46,10 +50,11 @@
 
   void setup() override {
     service = std::make_unique<http_service>(
-        io, [this](const http_call&, const auto& respond) {
+        io, memory, "test", [this](const http_call&, const auto& respond) {
           ++calls;
           http_answer answer;
           answer.status = 504;
+          answer.body = body;
           if (answers) return respond(answer);
           held.push_back(respond);
         });
@@ -251,3 +256,36 @@
   CHECK_TRUE(eventually([this] { return calls == 1; }));
   CHECK_TRUE(eventually([this] { return service->is_quiet(); }));
 }
+
+TEST(http_service_answers, large_answers_are_whole) {
+  constexpr size_t large_bytes = 1'000'000;
+  for (const size_t n : {size_t{0}, size_t{1}, size_t{64 << 10}, large_bytes}) {
+    body = std::string(n, 'b');
+    exchange("GET /a HTTP/1.0\r\n\r\n");
+    STRCMP_EQUAL("504", statuses().c_str());
+    const size_t at = got.find("\r\n\r\n");
+    CHECK_TRUE(at != std::string::npos);
+    CHECK_TRUE(got.substr(at + 4) == body);
+  }
+}
+
+// A request that is refused for want of memory was not run, and says when to
+// come back.
+TEST(http_service_answers, spent_memory_is_told) {
+  memory.set_limit({100});
+  class holder final : public memory_holder {
+   public:
+    void shed() override {}
+  } pinned;
+  memory_budget::share taken(memory, pinned, "test");
+  CHECK_TRUE(taken.resize(1 << 20));
+  taken.pin();
+  http_limits limits;
+  service->set_limits(limits);
+  exchange("POST /a HTTP/1.1\r\nContent-Length: 30000\r\n\r\nhello");
+  STRCMP_EQUAL("503", statuses().c_str());
+  STRCMP_CONTAINS("Retry-After: 1", got.c_str());
+  LONGS_EQUAL(0, calls);
+  exchange("POST /a HTTP/1.0\r\nContent-Length: 5\r\n\r\nhello");
+  STRCMP_EQUAL("504", statuses().c_str());
+}
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -2,157 +2,28 @@
 
 #include <poll.h>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <optional>
 #include <utility>
 #include <vector>
 
 #include "base/text.h"
 #include "kernel/log.h"
-#include "net/http-head.h"
+#include "net/http-session.h"
 
 namespace kestrelreel {
-namespace {
+namespace detail {
 
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr int64_t ms_per_s = 1'000;
+}  // namespace detail
 
-}  // namespace
+using detail::tcp;
 
-/// One connection; one request at a time.
-class http_service::session : public std::enable_shared_from_this<session> {
- public:
-  session(http_service& owner, tcp::socket socket)
-      : owner_(owner), stream_(std::move(socket)) {}
-
-  void wait() {
-    if (buffer_.size() > 0) return read();
-    stream_.expires_after(owner_.limits_.idle_timeout);
-    read_some([](session& it) { it.read(); });
-  }
-
-  void close() {
-    beast::error_code ec;
-    stream_.socket().close(ec);
-  }
-
-  bool idle() const { return !busy_ && buffer_.size() == 0; }
-  bool has_unread() const {
-    beast::error_code ec;
-    return stream_.socket().available(ec) > 0;
-  }
-  int handle() { return stream_.socket().native_handle(); }
-
- private:
-  static constexpr size_t most_at_once = 8'192;
-
-  void read() {
-    parser_.emplace();
-    limit_request(*parser_, owner_.limits_);
-    stream_.expires_after(owner_.limits_.header_timeout);
-    parse();
-  }
-
-  void parse() {
-    const beast::error_code ec =
-        parse_request(*parser_, buffer_, owner_.limits_);
-    if (ec != http::error::need_more) return on_read(ec);
-    read_some([](session& it) { it.parse(); });
-  }
-
-  /// Ends the connection when no more comes.
-  void read_some(void (*then)(session&)) {
-    stream_.async_read_some(
-        buffer_.prepare(most_at_once),
-        [self = shared_from_this(), then](beast::error_code ec, size_t n) {
-          if (ec) return self->end();
-          self->buffer_.commit(n);
-          then(*self);
-        });
-  }
-
-  void on_read(beast::error_code ec) {
-    const unsigned refusal = refusal_of(ec);
-    if (refusal != 0) return refuse(refusal, ec);
-    keep_alive_ = parser_->get().keep_alive();
-    const http_call call = take_call(*parser_, owner_.deadline_header_);
-    stream_.expires_never();
-    busy_ = true;
-    ++owner_.under_way_;
-    owner_.on_call_(call, [self = shared_from_this(),
-                           done = false](const http_answer& answer) mutable {
-      if (!std::exchange(done, true)) self->write(answer);
-    });
-  }
-
-  void refuse(unsigned status, beast::error_code ec) {
-    log_event("http", log_level::warn, "request-malformed")
-        .with("error", ec.message())
-        .with("status", status);
-    keep_alive_ = false;
-    busy_ = true;
-    ++owner_.under_way_;
-    http_answer answer;
-    answer.status = status;
-    write(answer);
-  }
-
-  void write(const http_answer& answer) {
-    response_ = {};
-    response_.version(http_version);
-    response_.result(answer.status);
-    if (!answer.body.empty()) {
-      response_.set(http::field::content_type, answer.content_type);
-    }
-    if (answer.retry_after.count() > 0) {
-      const int64_t s = (answer.retry_after.count() + ms_per_s - 1) / ms_per_s;
-      response_.set(http::field::retry_after, std::to_string(s));
-    }
-    response_.keep_alive(keep_alive_ && !owner_.draining_);
-    response_.body() = answer.body;
-    response_.prepare_payload();
-    stream_.expires_after(owner_.limits_.idle_timeout);
-    http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](beast::error_code ec, size_t) {
-          self->busy_ = false;
-          --self->owner_.under_way_;
-          if (ec || !self->response_.keep_alive()) return self->finish();
-          self->wait();
-        });
-  }
-
-  /// Lets the caller read the answer before the connection goes.
-  void finish() {
-    beast::error_code ec;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-    end();
-  }
-
-  void end() {
-    close();
-    if (!owner_.alive_) return;
-    owner_.sessions_.erase(shared_from_this());
-  }
-
-  static constexpr unsigned http_version = 11;
-
-  http_service& owner_;
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  std::optional<http_request_parser> parser_;
-  http::response<http::string_body> response_;
-  bool keep_alive_ = true;
-  bool busy_ = false;
-};
-
-http_service::http_service(boost::asio::io_context& io, handler on_call,
+http_service::http_service(boost::asio::io_context& io, memory_budget& memory,
+                           std::string door, handler on_call,
                            std::string deadline_header)
-    : on_call_(std::move(on_call)),
+    : memory_(memory),
+      door_(std::move(door)),
+      on_call_(std::move(on_call)),
       deadline_header_(std::move(deadline_header)),
       acceptor_(io) {}
 
@@ -208,7 +79,7 @@
   std::vector<pollfd> sockets{{acceptor_.native_handle(), POLLIN, 0}};
   for (const auto& it : sessions_) {
     if (!it->idle()) return false;
-    sockets.push_back({it->handle(), POLLIN, 0});
+    if (!it->is_refused()) sockets.push_back({it->handle(), POLLIN, 0});
   }
   return ::poll(sockets.data(), sockets.size(), 0) == 0;
 }
--- a/net/http-service.h
+++ b/net/http-service.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "base/clock.h"
+#include "net/memory-budget.h"
 
 namespace kestrelreel {
 
@@ -35,10 +36,12 @@
   milliseconds retry_after{0};
 };
 
-/// What one connection may take.
+/// What one connection may take, and how many there may be.
 struct http_limits {
+  /// Of the header; of the trailers and of a chunk's line too.
   uint32_t header_bytes = 16'384;
   uint64_t body_bytes = 4 << 20;
+  /// For a whole request, from its first byte.
   milliseconds header_timeout{3'000};
   milliseconds idle_timeout{15'000};
   size_t connections = 2'000;
@@ -50,8 +53,11 @@
   using respond_function = std::function<void(http_answer)>;
   using handler = std::function<void(const http_call&, respond_function)>;
 
-  /// `deadline_header` names the header of `http_call::deadline_ms`.
-  http_service(boost::asio::io_context& io, handler on_call,
+  /// What its connections hold is counted in `memory`, which must outlive it.
+  /// `door` names it in the log and the metrics; `deadline_header` names the
+  /// header of `http_call::deadline_ms`.
+  http_service(boost::asio::io_context& io, memory_budget& memory,
+               std::string door, handler on_call,
                std::string deadline_header = "");
   ~http_service();
 
@@ -72,6 +78,8 @@
   void accept();
   void note_cut_requests();
 
+  memory_budget& memory_;
+  std::string door_;
   handler on_call_;
   std::string deadline_header_;
   boost::asio::ip::tcp::acceptor acceptor_;
