Connections that stand still give way to new ones

Callers saw their connections closed at once while 2,000 others were open that sent nothing, or part of a header. The balancer's questions at the readiness address could take 2,000 more, so that a process could use up its descriptors; the accepting then failed without a pause.

Cause: at the most connections the newcomer was refused, whoever the others were.

Now the connection that has made no step for the longest time gives way: first those that never had an answer and stood still for 0.5 s, then those that were answered and are silent for 5 s, as one that was served just now is an ordinary client's. One with unread bytes or a request under way does not. The readiness address takes 64 connections, since the balancer asks once a second. A failed accept is repeated after 20 ms.

--- a/daemon/front-service.cc
+++ b/daemon/front-service.cc
@@ -9,8 +9,9 @@
 constexpr unsigned status_not_ready = 503;
 /// A worker's report may be that large.
 constexpr uint64_t control_body_bytes = 4 << 20;
-/// The balancer's question has no body.
+/// The balancer's question has no body, and comes once a second.
 constexpr uint64_t question_body_bytes = 4 << 10;
+constexpr size_t balancer_connections = 64;
 
 }  // namespace detail
 
@@ -55,6 +56,7 @@
       });
   http_limits question;
   question.body_bytes = detail::question_body_bytes;
+  question.connections = detail::balancer_connections;
   readiness_->set_limits(question);
   const absl::Status status =
       readiness_->listen(context_.settings.readiness_address);
--- a/net/http-service-test.cc
+++ b/net/http-service-test.cc
@@ -257,6 +257,25 @@
   CHECK_TRUE(eventually([this] { return service->is_quiet(); }));
 }
 
+// A silent connection kept its place until it was idle for too long.
+TEST(http_service_answers, silent_connections_keep_a_new_one_out) {
+  http_limits limits;
+  limits.connections = 2;
+  limits.header_timeout = http_patience;
+  service->set_limits(limits);
+  const auto first = connect();
+  const auto second = connect();
+  boost::asio::write(*second, boost::asio::buffer(sound.substr(0, 10)));
+  const std::string once = "GET /a HTTP/1.0\r\n\r\n";
+  CHECK_TRUE(eventually([&] {
+    exchange(once);
+    return statuses() == "504";
+  }));
+  const metric_labels closed{{"door", "test"}, {"what", "closed"}};
+  CHECK_TRUE(metrics.counter("kestrelreel_connections_limited_total", closed) >
+             0);
+}
+
 TEST(http_service_answers, large_answers_are_whole) {
   constexpr size_t large_bytes = 1'000'000;
   for (const size_t n : {size_t{0}, size_t{1}, size_t{64 << 10}, large_bytes}) {
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -14,6 +14,9 @@
 
 using boost::asio::ip::tcp;
 
+/// Out of descriptors, say: some are closed meanwhile.
+constexpr milliseconds accept_pause{20};
+
 }  // namespace detail
 
 using detail::tcp;
@@ -25,7 +28,8 @@
       door_(std::move(door)),
       on_call_(std::move(on_call)),
       deadline_header_(std::move(deadline_header)),
-      acceptor_(io) {}
+      acceptor_(io),
+      accept_timer_(io) {}
 
 http_service::~http_service() { close(); }
 
@@ -55,23 +59,47 @@
   acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](
                              boost::system::error_code ec, tcp::socket socket) {
     if (alive.expired() || ec == boost::asio::error::operation_aborted) return;
-    if (ec) {
-      log_event("http", log_level::warn, "accept-failed")
-          .with("error", ec.message());
-    } else if (sessions_.size() >= limits_.connections) {
-      log_event("http", log_level::warn, "connection-refused")
-          .with("connections", sessions_.size());
-    } else {
-      boost::system::error_code option;
-      socket.set_option(tcp::no_delay(true), option);
-      auto it = std::make_shared<session>(*this, std::move(socket));
-      sessions_.insert(it);
-      it->wait();
-    }
+    if (ec) return accept_later(ec);
+    admit(std::move(socket));
     accept();
   });
 }
 
+void http_service::accept_later(boost::system::error_code cause) {
+  log_event("http", log_level::warn, "accept-failed")
+      .with("door", door_)
+      .with("error", cause.message());
+  make_room();
+  accept_timer_.expires_after(detail::accept_pause);
+  accept_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
+        if (!ec && !alive.expired()) accept();
+      });
+}
+
+void http_service::admit(tcp::socket socket) {
+  if (sessions_.size() >= limits_.connections && !make_room()) {
+    return report_refused_connection(memory_.metrics(), door_,
+                                     sessions_.size());
+  }
+  boost::system::error_code option;
+  socket.set_option(tcp::no_delay(true), option);
+  auto it = std::make_shared<session>(*this, std::move(socket));
+  sessions_.insert(it);
+  it->wait();
+}
+
+bool http_service::make_room() {
+  const time_point now = memory_.now();
+  const auto found = first_to_give_way(sessions_, now);
+  if (!found) return false;
+  report_closed_connection(memory_.metrics(), door_, sessions_.size(),
+                           found->activity(), now);
+  found->close();
+  sessions_.erase(found);
+  return true;
+}
+
 void http_service::drain() { draining_ = true; }
 
 bool http_service::is_quiet() {
@@ -108,6 +136,7 @@
   alive_.reset();
   boost::system::error_code ec;
   acceptor_.close(ec);
+  accept_timer_.cancel();
   const auto sessions = std::exchange(sessions_, {});
   for (const auto& it : sessions) it->close();
 }
--- a/net/http-service.h
+++ b/net/http-service.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -76,6 +77,10 @@
  private:
   class session;
   void accept();
+  void admit(boost::asio::ip::tcp::socket socket);
+  /// Closes the connection that gives way first; false when none may.
+  bool make_room();
+  void accept_later(boost::system::error_code cause);
   void note_cut_requests();
 
   memory_budget& memory_;
@@ -83,6 +88,7 @@
   handler on_call_;
   std::string deadline_header_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   http_limits limits_;
   std::set<std::shared_ptr<session>> sessions_;
   bool draining_ = false;
--- a/net/http-session.cc
+++ b/net/http-session.cc
@@ -29,7 +29,9 @@
 http_service::session::session(http_service& owner, detail::tcp::socket socket)
     : owner_(owner),
       stream_(std::move(socket)),
-      share_(owner.memory_, *this, owner.door_) {}
+      share_(owner.memory_, *this, owner.door_) {
+  activity_.moved_at = owner.memory_.now();
+}
 
 void http_service::session::wait() {
   stage_ = stage::waiting;
@@ -65,6 +67,12 @@
   return stream_.socket().available(ec) > 0;
 }
 
+bool http_service::session::may_give_way(time_point now) const {
+  if (stage_ == stage::lingering) return true;
+  if (stage_ != stage::waiting && stage_ != stage::reading) return false;
+  return activity_.may_give_way(now);
+}
+
 void http_service::session::begin_request() {
   stage_ = stage::reading;
   field_bytes_ = 0;
@@ -107,6 +115,7 @@
   }
   if (ec) return end();
   buffer_.commit(n);
+  activity_.moved_at = owner_.memory_.now();
   if (stage_ == stage::waiting) begin_request();
   parse();
 }
@@ -193,6 +202,7 @@
   if (piece_.capacity() > memory_budget::uncounted_bytes) free_text(piece_);
   if (ec || shed_) return end();
   if (refused_) return linger();
+  activity_ = {true, owner_.memory_.now()};
   if (!response_.keep_alive()) return finish();
   wait();
 }
--- a/net/http-session.h
+++ b/net/http-session.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "net/connection-limit.h"
 #include "net/http-head.h"
 #include "net/http-service.h"
 
@@ -34,6 +35,9 @@
   bool is_refused() const { return stage_ == stage::lingering; }
   /// Bytes of a request have arrived and are not read yet.
   bool has_unread() const;
+  /// True when it may be closed for a new connection.
+  bool may_give_way(time_point now) const;
+  const connection_activity& activity() const { return activity_; }
   int handle() { return stream_.socket().native_handle(); }
 
  private:
@@ -81,6 +85,7 @@
   size_t written_ = 0;
   std::string piece_;
   stage stage_ = stage::waiting;
+  connection_activity activity_;
   bool keep_alive_ = true;
   bool refused_ = false;
   bool shed_ = false;
