The admin address is read by the HTTP server

Whoever monitors a listed box saw it end by an assertion of the library when a request's last chunk came in single bytes, or run out of memory for trailers without an end, for large bodies, or for 3,000 silent connections (4,021 descriptors of 3,896).

Cause: the address read requests by itself, with the library's composed read and without a limit on connections; what http_service knows of both was not used.

It is an http_service now, with the budget, 64 connections and 4 KiB of body.

--- a/daemon/admin-service.cc
+++ b/daemon/admin-service.cc
@@ -1,21 +1,13 @@
 #include "daemon/admin-service.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 #include <utility>
 
-#include "routing/entry-server.h"
-
 namespace kestrelreel {
 namespace detail {
 
-namespace http = boost::beast::http;
-constexpr auto await = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// Questions have no body, and a few ask.
+constexpr uint64_t question_body_bytes = 4 << 10;
+constexpr size_t most_connections = 64;
 constexpr milliseconds call_limit{5'000};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
@@ -24,30 +16,30 @@
 }  // namespace detail
 
 admin_service::admin_service(process_context& context)
-    : context_(context), acceptor_(context.io) {}
+    : context_(context),
+      http_(context.io, context.http_memory, "admin",
+            [this](const http_call& call, auto respond) {
+              auto [status, text] = answer(call.target);
+              http_answer it;
+              it.status = status;
+              it.body = std::move(text);
+              it.content_type = "text/plain; version=0.0.4";
+              respond(std::move(it));
+            }) {
+  http_limits limits;
+  limits.body_bytes = detail::question_body_bytes;
+  limits.header_timeout = detail::call_limit;
+  limits.idle_timeout = detail::call_limit;
+  limits.connections = detail::most_connections;
+  http_.set_limits(limits);
+}
 
 absl::Status admin_service::start(service_registry& registry) {
   entry_ = registry.find<entry_service>(service_names::entry);
-  auto acceptor = listen_on(context_.io, context_.settings.admin_address);
-  if (!acceptor.ok()) return acceptor.status();
-  acceptor_ = std::move(*acceptor);
-  boost::asio::co_spawn(context_.io, accept(), boost::asio::detached);
-  return absl::OkStatus();
+  return http_.listen(context_.settings.admin_address);
 }
 
-void admin_service::stop() {
-  boost::system::error_code ec;
-  acceptor_.close(ec);
-}
-
-boost::asio::awaitable<void> admin_service::accept() {
-  while (acceptor_.is_open()) {
-    auto [ec, socket] = co_await acceptor_.async_accept(detail::await);
-    if (ec) continue;
-    boost::asio::co_spawn(context_.io, serve(std::move(socket)),
-                          boost::asio::detached);
-  }
-}
+void admin_service::stop() { http_.close(); }
 
 std::pair<unsigned, std::string> admin_service::answer(
     std::string_view path) const {
@@ -64,27 +56,4 @@
           "one of /healthz, /readyz, /metrics is meant\n"};
 }
 
-boost::asio::awaitable<void> admin_service::serve(
-    boost::asio::ip::tcp::socket socket) {
-  boost::beast::tcp_stream stream(std::move(socket));
-  boost::beast::flat_buffer buf;
-  for (;;) {
-    stream.expires_after(detail::call_limit);
-    detail::http::request<detail::http::string_body> request;
-    const auto [read_ec, n] =
-        co_await detail::http::async_read(stream, buf, request, detail::await);
-    if (read_ec) co_return;
-    auto [status, text] = answer(std::string_view(request.target()));
-    detail::http::response<detail::http::string_body> reply(
-        static_cast<detail::http::status>(status), 11);
-    reply.set(detail::http::field::content_type, "text/plain; version=0.0.4");
-    reply.keep_alive(request.keep_alive());
-    reply.body() = std::move(text);
-    reply.prepare_payload();
-    const auto [write_ec, m] =
-        co_await detail::http::async_write(stream, reply, detail::await);
-    if (write_ec || !reply.keep_alive()) co_return;
-  }
-}
-
 }  // namespace kestrelreel
--- a/daemon/admin-service.h
+++ b/daemon/admin-service.h
@@ -1,14 +1,15 @@
 // The service `admin`: `/metrics`, `/healthz` and `/readyz` over HTTP.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "daemon/entry-service.h"
 #include "daemon/process-context.h"
 #include "kernel/service.h"
+#include "net/http-service.h"
 
 namespace kestrelreel {
 
@@ -25,13 +26,11 @@
   void stop() override;
 
  private:
-  boost::asio::awaitable<void> accept();
-  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
   std::pair<unsigned, std::string> answer(std::string_view path) const;
 
   process_context& context_;
   entry_service* entry_ = nullptr;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  http_service http_;
 };
 
 }  // namespace kestrelreel
