Callers of a listed box are read by the one reader of requests

Callers saw a listed box end by an assertion of the library when a last chunk came in single bytes, and run out of memory for trailers without an end or for bodies that stop short; with all connections taken by silent clients they got no answer.

Cause: the session read requests by the library's composed read, which hands the parser what that can't take (net/http-head knows of it since it was fuzzed), whose buffer has no bound, and which no budget saw.

The session now reads piece by piece through parse_request, counts what it holds in the process's budget, refuses with 503 and "memory-limit" when that is spent, gives way like the connections of http_service, and is read on after a refusal. A body that is not sound is answered 400; its connection just ended before.

--- a/daemon/entry-service.cc
+++ b/daemon/entry-service.cc
@@ -38,6 +38,7 @@
                                                     *connections_,
                                                     context_.clock,
                                                     context_.metrics,
+                                                    context_.http_memory,
                                                     context_.settings.box.str(),
                                                     {limits.body, limits.idle},
                                                     false});
--- a/routing/caller-session-test-world.h
+++ b/routing/caller-session-test-world.h
@@ -206,14 +206,15 @@
     return n;
   }
 
-  boost::asio::io_context io{1};
   boot_clock clock;
   seeded_random random{1};
   metrics_registry metrics;
+  memory_budget memory{clock, metrics, "http", {64 << 20}};
+  boost::asio::io_context io{1};
   service_router router;
   connection_cache connections{io};
-  entry_context context{io,      router, connections,      clock,
-                        metrics, "box",  session_limits(), false};
+  entry_context context{io,     router, connections,      clock, metrics,
+                        memory, "box",  session_limits(), false};
   entry_server server;
   std::vector<std::unique_ptr<scripted_server>> servers;
 };
--- a/routing/caller-session.cc
+++ b/routing/caller-session.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
@@ -17,38 +16,13 @@
 
 namespace http = boost::beast::http;
 constexpr auto await = boost::asio::as_tuple(boost::asio::use_awaitable);
-constexpr uint32_t header_limit = 16 << 10;
 constexpr size_t piece_size = 16 << 10;
 constexpr unsigned http_1_1 = 11;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
-constexpr int status_too_slow = 408;
-constexpr int status_body_too_large = 413;
-constexpr int status_header_too_large = 431;
 constexpr int status_unavailable = 503;
 constexpr milliseconds longest_deadline{3'600'000};
 
-request_error body_too_large() {
-  return {verdict::not_run, status_body_too_large, "body-too-large"};
-}
-
-/// What to tell the caller of a header that could not be read; nothing when
-/// the connection just ended.
-std::optional<request_error> fault_of_header(boost::system::error_code ec) {
-  if (!ec || ec == http::error::end_of_stream ||
-      ec == http::error::partial_message) {
-    return std::nullopt;
-  }
-  if (ec == http::error::body_limit) return body_too_large();
-  if (ec == http::error::header_limit) {
-    return request_error{verdict::not_run, status_header_too_large,
-                         "header-too-large"};
-  }
-  const boost::system::error_code any = http::error::bad_method;
-  if (ec.category() != any.category()) return std::nullopt;
-  return request_error{verdict::not_run, status_bad_request, "bad-request"};
-}
-
 /// The first segment of the path: the service's name.
 std::string service_of(std::string_view target) {
   if (target.empty() || target[0] != '/') return "";
@@ -102,7 +76,10 @@
 
 caller_session::caller_session(entry_context& context,
                                boost::asio::ip::tcp::socket socket)
-    : context_(context), stream_(std::move(socket)) {}
+    : context_(context),
+      stream_(std::move(socket)),
+      activity_{false, context.clock.now()},
+      share_(context.memory, *this, "callers") {}
 
 milliseconds caller_session::remaining(const exchange& it) const {
   return it.info.deadline - context_.clock.now();
@@ -121,66 +98,26 @@
       .add(context_.clock.now() - it.begun);
 }
 
-void caller_session::close_if_idle() {
-  if (idle_ && buffer_.size() == 0) stream_.cancel();
-}
-
 boost::asio::awaitable<void> caller_session::run() {
   for (;;) {
     auto it = co_await read_request();
     if (!it) co_return;
     it->begun = context_.clock.now();
-    if (const auto error = prepare(*it)) {
-      if (co_await send_error(*it, *error, std::nullopt) == outcome::close) {
-        break;
-      }
-      continue;
-    }
-    if (co_await serve(*it) == outcome::close) break;
+    const outcome end = co_await answer(*it);
+    share_.release();
+    activity_ = {true, context_.clock.now()};
+    if (end == outcome::close) break;
   }
   boost::system::error_code ec;
   stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
 }
 
-boost::asio::awaitable<std::optional<caller_session::exchange>>
-caller_session::read_request() {
-  request_parser parser;
-  parser.header_limit(detail::header_limit);
-  parser.body_limit(context_.limits.body.value);
-  stream_.expires_after(context_.limits.idle);
-  idle_ = true;
-  const auto [ec, n] = co_await detail::http::async_read_header(
-      stream_, buffer_, parser, detail::await);
-  idle_ = false;
-  if (const auto fault = detail::fault_of_header(ec)) {
-    co_await send_fault(*fault);
-  }
-  if (ec || !co_await read_body(parser)) co_return std::nullopt;
-  exchange it;
-  it.request = parser.release();
-  it.keep_alive = it.request.keep_alive();
-  co_return it;
-}
-
-boost::asio::awaitable<bool> caller_session::read_body(request_parser& parser) {
-  if (detail::http::token_list(parser.get()[detail::http::field::expect])
-          .exists("100-continue")) {
-    detail::http::response<detail::http::string_body> go_on(
-        detail::http::status::continue_, detail::http_1_1);
-    co_await detail::http::async_write(stream_, go_on, detail::await);
-  }
-  stream_.expires_after(context_.limits.idle);
-  const auto [ec, n] = co_await detail::http::async_read(stream_, buffer_,
-                                                         parser, detail::await);
-  if (ec == detail::http::error::body_limit) {
-    co_await send_fault(detail::body_too_large());
-  } else if (ec == boost::beast::error::timeout) {
-    // As a temporary of the co_await it was destroyed twice.
-    const request_error fault{verdict::not_run, detail::status_too_slow,
-                              "request-too-slow"};
-    co_await send_fault(fault);
+boost::asio::awaitable<caller_session::outcome> caller_session::answer(
+    exchange& it) {
+  if (const auto error = prepare(it)) {
+    co_return co_await send_error(it, *error, std::nullopt);
   }
-  co_return !ec;
+  co_return co_await serve(it);
 }
 
 std::optional<request_error> caller_session::prepare(exchange& it) {
@@ -386,14 +323,4 @@
   co_return ec || !keep ? outcome::close : outcome::keep;
 }
 
-/// Answers what is no request; the connection ends with it.
-boost::asio::awaitable<void> caller_session::send_fault(
-    const request_error& error) {
-  exchange none;
-  none.keep_alive = false;
-  co_await send_error(none, error, std::nullopt);
-  boost::system::error_code ec;
-  stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-}
-
 }  // namespace kestrelreel
--- a/routing/caller-session.h
+++ b/routing/caller-session.h
@@ -17,6 +17,9 @@
 #include "base/clock.h"
 #include "base/units.h"
 #include "kernel/metrics.h"
+#include "net/connection-limit.h"
+#include "net/http-head.h"
+#include "net/memory-budget.h"
 #include "routing/service-router.h"
 #include "routing/upstream.h"
 
@@ -35,6 +38,8 @@
   connection_cache& connections;
   clock_source& clock;
   metrics_registry& metrics;
+  /// What callers' connections hold is counted here.
+  memory_budget& memory;
   std::string box;
   session_limits limits;
   /// True once the box is about to stop: answers close their connections.
@@ -42,12 +47,21 @@
 };
 
 /// Serves a connection until either side ends it.
-class caller_session {
+class caller_session final : public memory_holder {
  public:
   caller_session(entry_context& context, boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> run();
   /// Ends the connection if no byte of a request has come since the last one.
   void close_if_idle();
+  void shed() override;
+
+  /// True when it may be closed for a new connection.
+  bool may_give_way(time_point now) const;
+  const connection_activity& activity() const { return activity_; }
+  /// Bytes of a request have arrived and are not read yet.
+  bool has_unread();
+  /// Ends the connection without an answer.
+  void close();
 
  private:
   /// A request on its way.
@@ -61,11 +75,25 @@
   };
   enum class outcome { keep, close };
 
-  using request_parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  /// What the peer is waited for.
+  enum class stage {
+    /// A request, of which no byte has come.
+    idle,
+    /// The rest of a request.
+    reading,
+    /// Nothing: its request is under way, or it is written to.
+    busy,
+    /// To read its refusal and to close.
+    lingering,
+  };
 
   boost::asio::awaitable<std::optional<exchange>> read_request();
-  boost::asio::awaitable<bool> read_body(request_parser& parser);
+  boost::asio::awaitable<boost::system::error_code> read_whole();
+  boost::asio::awaitable<boost::system::error_code> read_some();
+  boost::asio::awaitable<void> send_continue();
+  boost::asio::awaitable<void> linger();
+  size_t held_bytes();
+  boost::asio::awaitable<outcome> answer(exchange& it);
   std::optional<request_error> prepare(exchange& it);
   void prepare_upstream(exchange& it);
   boost::asio::awaitable<outcome> serve(exchange& it);
@@ -88,7 +116,13 @@
   entry_context& context_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
-  bool idle_ = true;
+  std::optional<http_request_parser> parser_;
+  size_t field_bytes_ = 0;
+  stage stage_ = stage::idle;
+  connection_activity activity_;
+  bool shed_ = false;
+  bool closed_ = false;
+  memory_budget::share share_;
 };
 
 }  // namespace kestrelreel
--- a/routing/entry-server.cc
+++ b/routing/entry-server.cc
@@ -7,10 +7,12 @@
 #include <utility>
 
 #include "base/text.h"
+#include "kernel/log.h"
 
 namespace kestrelreel {
 namespace detail {
 
+constexpr const char* door = "callers";
 using boost::asio::ip::tcp;
 constexpr auto await = boost::asio::as_tuple(boost::asio::use_awaitable);
 
@@ -68,6 +70,9 @@
     if (!acceptor_.is_open()) co_return;
     if (ec) {
       // Out of file descriptors, say: wait for some to be closed.
+      log_event(detail::door, log_level::warn, "accept-failed")
+          .with("error", ec.message());
+      make_room();
       pause.expires_after(milliseconds(20));
       co_await pause.async_wait(detail::await);
     }
@@ -75,7 +80,9 @@
 }
 
 void entry_server::admit(detail::tcp::socket socket) {
-  if (open_ >= max_connections_) return;
+  if (open_ >= max_connections_ && !make_room()) {
+    return report_refused_connection(context_.metrics, detail::door, open_);
+  }
   boost::system::error_code ignored;
   socket.set_option(detail::tcp::no_delay(true), ignored);
   ++open_;
@@ -83,6 +90,16 @@
                         boost::asio::detached);
 }
 
+bool entry_server::make_room() {
+  const time_point now = context_.clock.now();
+  caller_session* found = first_to_give_way(sessions_, now);
+  if (found == nullptr) return false;
+  report_closed_connection(context_.metrics, detail::door, open_,
+                           found->activity(), now);
+  found->close();
+  return true;
+}
+
 /// Takes in the connections that callers have already: a close would reset
 /// them, with their requests.
 void entry_server::accept_waiting() {
--- a/routing/entry-server.h
+++ b/routing/entry-server.h
@@ -40,6 +40,8 @@
   boost::asio::awaitable<void> accept();
   void accept_waiting();
   void admit(boost::asio::ip::tcp::socket socket);
+  /// Closes the connection that gives way first; false when none may.
+  bool make_room();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
   entry_context& context_;
