What other boxes' connections hold has a budget

Operators saw a control box of 256 MB hold 301 to 562 MB for 50 connections at the boxes' own port, each with a frame of 8 MiB that stops short, and 365 to 383 MB for 30 that ask and read nothing; 2,100 silent ones and as many callers took 4,116 descriptors.

Cause: a connection that another box opens had a limit of its own (64 MiB to read, 80 MiB to send), no count and no time, and its bytes are kept before it is known whose they are.

Their unfinished frames and unread answers share a memory budget of their own, a quarter of the box's memory and 72 MiB at least, so that the largest frame passes beside others on a small box. There are 1,500 such connections at the most (the largest deployment has some 600 boxes); one that stands still gives way. A failed accept is repeated after 20 ms. A frame's buffer beyond 1 MiB is no longer grown by doubling, nor kept.

--- a/daemon/mesh-service.h
+++ b/daemon/mesh-service.h
@@ -23,6 +23,7 @@
     if (context_.settings.role != seeded_role::control) {
       return absl::OkStatus();
     }
+    mesh_.count_guests_in(context_.mesh_memory);
     return mesh_.listen(context_.settings.peer_address);
   }
   void stop() override { mesh_.close(); }
--- a/daemon/seeded-context.h
+++ b/daemon/seeded-context.h
@@ -26,15 +26,18 @@
   seeded_random random{0};
   seeded_settings settings;
   metrics_registry metrics;
-  /// Of the HTTP addresses.
+  /// Of the HTTP addresses, and of the other boxes' connections.
   memory_budget http_memory{clock, metrics, "http",
                             http_memory_of(settings.memory)};
-  /// Connections hold their part of the budget until it ends.
+  memory_budget mesh_memory{clock, metrics, "mesh",
+                            mesh_memory_of(settings.memory)};
+  /// Connections hold their part of the budgets until it ends.
   boost::asio::io_context io{1};
 
   void set_settings(seeded_settings it) {
     settings = std::move(it);
     http_memory.set_limit(http_memory_of(settings.memory));
+    mesh_memory.set_limit(mesh_memory_of(settings.memory));
   }
   /// True once a planned stop began.
   bool stopping = false;
--- a/net/frame-stream.cc
+++ b/net/frame-stream.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <utility>
 
+#include "base/text.h"
 #include "kernel/log.h"
 
 namespace kestrelreel {
@@ -15,6 +16,8 @@
 
 constexpr size_t chunk_bytes = 16 << 10;
 constexpr size_t prefix_bytes = sizeof(uint32_t);
+/// A buffer that grew beyond that is not kept.
+constexpr size_t large_frame_bytes = 1 << 20;
 /// How long sent bytes may stay unacknowledged: a peer behind a silent cut is
 /// given up after that.
 constexpr unsigned unacknowledged_ms = 2'000;
@@ -36,6 +39,36 @@
   }
 }
 
+void frame_stream::count_in(memory_budget& memory, const std::string& door) {
+  memory_ = &memory;
+  activity_.moved_at = memory.now();
+  share_ = std::make_unique<memory_budget::share>(memory, *this, door);
+}
+
+/// False when there is no room for what it holds.
+bool frame_stream::count() {
+  return !share_ || share_->resize(in_.size() + backlog());
+}
+
+/// A string that grows by doubling holds up to twice a large frame.
+void frame_stream::reserve_frame() {
+  if (in_.size() < detail::large_frame_bytes) return;
+  uint32_t n = 0;
+  std::memcpy(&n, in_.data(), sizeof(n));
+  in_.reserve(detail::prefix_bytes + n);
+}
+
+bool frame_stream::has_unread() const {
+  boost::system::error_code ec;
+  return socket_.available(ec) > 0;
+}
+
+void frame_stream::shed() {
+  free_text(in_);
+  free_text(queued_);
+  close();
+}
+
 void frame_stream::start(frame_handler on_frame, close_handler on_close) {
   on_frame_ = std::move(on_frame);
   on_close_ = std::move(on_close);
@@ -50,8 +83,12 @@
       [self = shared_from_this()](boost::system::error_code ec, size_t n) {
         if (!self->open_) return;
         if (ec) return self->close();
+        if (self->memory_ != nullptr) {
+          self->activity_.moved_at = self->memory_->now();
+        }
         self->in_.append(self->chunk_.data(), n);
-        if (!self->take_frames()) return self->close();
+        if (!self->take_frames() || !self->count()) return self->close();
+        self->reserve_frame();
         if (self->open_) self->read();
       });
 }
@@ -79,11 +116,15 @@
   // Closing drops the handler, which may be what closes.
   const frame_handler on_frame = on_frame_;
   const auto taken = read_frames(in_, [&](const fleet::fleet_frame& frame) {
+    activity_.served = true;
     on_frame(frame);
     return open_;
   });
   if (!taken) return false;
-  in_.erase(0, *taken);
+  if (*taken <= in_.size()) in_.erase(0, *taken);
+  if (in_.empty() && in_.capacity() > detail::large_frame_bytes) {
+    free_text(in_);
+  }
   return true;
 }
 
@@ -93,6 +134,7 @@
   if (queued_.size() + n > most_queued_bytes) return close();
   queued_.append(reinterpret_cast<const char*>(&n), sizeof(n));
   frame.AppendToString(&queued_);
+  if (!count()) return shed();
   if (!write_out_) write();
 }
 
@@ -105,6 +147,10 @@
       [self = shared_from_this()](boost::system::error_code ec, size_t) {
         self->write_out_ = false;
         self->writing_.clear();
+        if (self->writing_.capacity() > detail::large_frame_bytes) {
+          free_text(self->writing_);
+        }
+        if (!self->count()) return self->close();
         if (ec) return self->close();
         if (self->open_ && !self->queued_.empty()) self->write();
       });
@@ -118,6 +164,7 @@
     log_event("mesh", log_level::debug, "close-failed")
         .with("error", ec.message());
   }
+  if (share_) share_->release();
   on_frame_ = nullptr;
   const close_handler done = std::move(on_close_);
   on_close_ = nullptr;
--- a/net/peer-mesh.cc
+++ b/net/peer-mesh.cc
@@ -24,6 +24,12 @@
 /// snapshots of the largest state, and well below what a connection queues.
 constexpr size_t most_waiting = 256;
 constexpr size_t most_waiting_bytes = 32 << 20;
+/// Boxes that may be connected by themselves; twice as many as the largest
+/// deployment has, and with callers' connections below a box's descriptors.
+constexpr size_t most_guests = 1'500;
+constexpr const char* door = "mesh";
+/// Out of descriptors, say: some are closed meanwhile.
+constexpr milliseconds accept_pause{20};
 /// How often calls are looked through for those that took too long.
 constexpr milliseconds sweep_interval{50};
 
@@ -56,6 +62,7 @@
       self_(std::move(self)),
       port_(port),
       acceptor_(io),
+      accept_timer_(io),
       sweep_timer_(io),
       watch_timer_(io) {}
 
@@ -89,18 +96,45 @@
           boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
         if (alive.expired() || ec == boost::asio::error::operation_aborted)
           return;
-        if (ec) {
-          log_event("mesh", log_level::warn, "accept-failed")
-              .with("error", ec.message());
-        } else {
-          adopt(std::move(socket));
-        }
+        if (ec) return accept_later(ec);
+        if (has_room_for_guest()) adopt(std::move(socket));
         accept();
       });
 }
 
+void peer_mesh::accept_later(boost::system::error_code cause) {
+  log_event("mesh", log_level::warn, "accept-failed")
+      .with("error", cause.message());
+  accept_timer_.expires_after(detail::accept_pause);
+  accept_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
+        if (!ec && !alive.expired()) accept();
+      });
+}
+
+/// Closes the guest that gives way first when there are too many.
+bool peer_mesh::has_room_for_guest() {
+  if (guest_memory_ == nullptr || guests_.size() < detail::most_guests) {
+    return true;
+  }
+  const time_point now = guest_memory_->now();
+  const stream_pointer found = first_to_give_way(guests_, now);
+  if (!found) {
+    report_refused_connection(guest_memory_->metrics(), detail::door,
+                              guests_.size());
+    return false;
+  }
+  report_closed_connection(guest_memory_->metrics(), detail::door,
+                           guests_.size(), found->activity(), now);
+  found->close();
+  return true;
+}
+
 void peer_mesh::adopt(boost::asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<frame_stream>(std::move(socket));
+  if (guest_memory_ != nullptr) {
+    stream->count_in(*guest_memory_, detail::door);
+  }
   guests_.insert(stream);
   const std::weak_ptr<frame_stream> weak = stream;
   stream->start(
@@ -305,6 +339,7 @@
   alive_.reset();
   boost::system::error_code ec;
   acceptor_.close(ec);
+  accept_timer_.cancel();
   sweep_timer_.cancel();
   watch_timer_.cancel();
   for (auto& [box, it] : links_) {
--- a/net/peer-mesh.h
+++ b/net/peer-mesh.h
@@ -16,6 +16,7 @@
 #include "base/ids.h"
 #include "net/call-table.h"
 #include "net/frame-stream.h"
+#include "net/memory-budget.h"
 
 namespace kestrelreel {
 
@@ -42,6 +43,9 @@
   ~peer_mesh();
 
   void set_handlers(handlers it) { handlers_ = std::move(it); }
+  /// What boxes that connect by themselves hold is counted in `memory`, which
+  /// must outlive the mesh; to be called before `listen`.
+  void count_guests_in(memory_budget& memory) { guest_memory_ = &memory; }
   /// Takes connections of other boxes at an IP:PORT; at its own IP number and
   /// the port when that is empty.
   absl::Status listen(const std::string& address = "");
@@ -58,6 +62,8 @@
  private:
   struct link;
   void accept();
+  void accept_later(boost::system::error_code cause);
+  bool has_room_for_guest();
   void adopt(boost::asio::ip::tcp::socket socket);
   link& link_to(const box_id& to);
   void dial(const box_id& to, link& it);
@@ -77,10 +83,12 @@
   uint16_t port_;
   handlers handlers_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   boost::asio::steady_timer sweep_timer_;
   boost::asio::steady_timer watch_timer_;
   std::map<box_id, std::unique_ptr<link>> links_;
   std::set<stream_pointer> guests_;
+  memory_budget* guest_memory_ = nullptr;
   call_number last_call_;
   connection_number last_connection_;
   bool sweeping_ = false;
