gRPC addresses have a quota of memory

Operators saw a listed box hold 445 to 564 MB for 50 connections with a message of 60 MiB of which 8 MiB came, at the operators' and the peers' address.

Cause: a message may have 64 MiB, and the library keeps its parts until it is whole, for any number of connections.

--- a/daemon/memory-limits.h
+++ b/daemon/memory-limits.h
@@ -11,6 +11,9 @@
 /// Requests and answers at the HTTP addresses.
 constexpr byte_count http_memory_of(byte_count box) { return {box.value / 4}; }
 
+/// Messages at one gRPC address.
+constexpr byte_count grpc_memory_of(byte_count box) { return {box.value / 8}; }
+
 /// Frames from and to boxes that connected by themselves; the largest one
 /// passes beside others on a small box too.
 constexpr byte_count mesh_memory_of(byte_count box) {
--- a/daemon/operator-service.cc
+++ b/daemon/operator-service.cc
@@ -26,7 +26,8 @@
   record_ = registry.find<record_service>(service_names::record);
   holder_ = registry.find<holder_service>(service_names::holder);
   calls_ = std::make_unique<operator_server>(context_.io, *this);
-  auto server = start_grpc_server(context_.settings.operators_address, *calls_);
+  auto server = start_grpc_server(context_.settings.operators_address, *calls_,
+                                  grpc_memory_of(context_.settings.memory));
   if (!server.ok()) return server.status();
   server_ = std::move(*server);
   record_->on_change([this](const auto&) { review(); });
