An entry box counts the requests that wait for the leader

Callers saw an entry box hold 401 MB for 200 jobs of 250,000 bytes each, sent whole.

Cause: the gateway keeps a copy of each request until it is answered, and nothing counted them; a job of many steps takes some six times its bytes once it is read.

A request beyond 4 KiB is counted in the HTTP budget, as large as it is in memory, until it is answered. One for which there is no room is answered "unavailable" with a time to come back before any box is asked, so that "not run" is true.

--- a/daemon/entry-gateway-question.h
+++ b/daemon/entry-gateway-question.h
@@ -8,9 +8,16 @@
 namespace kestrelreel {
 
 /// The request and what became of its tries.
-struct entry_gateway_service::question {
-  question(boost::asio::io_context& io, fleet::fleet_request r)
-      : timer(io), request(std::move(r)) {}
+struct entry_gateway_service::question final : public memory_holder {
+  question(seeded_context& context, fleet::fleet_request r)
+      : timer(context.io),
+        request(std::move(r)),
+        share(context.http_memory, *this, "gateway") {
+    share.pin();
+  }
+  /// Not asked to: it may run.
+  void shed() override {}
+
   boost::asio::steady_timer timer;
   fleet::fleet_request request;
   respond_function respond;
@@ -24,6 +31,7 @@
   unsigned tries = 0;
   unsigned unanswered = 0;
   box_id last_asked;
+  memory_budget::share share;
 };
 
 }  // namespace kestrelreel
--- a/daemon/entry-gateway-service.cc
+++ b/daemon/entry-gateway-service.cc
@@ -24,6 +24,12 @@
 /// A box stays ready for so long without a leader: an election that goes well.
 constexpr milliseconds ready_without{1'800};
 
+/// A message of many small parts takes several times its bytes.
+size_t memory_of(const fleet::fleet_request& request) {
+  constexpr size_t small_bytes = 4'096;
+  return request.ByteSizeLong() < small_bytes ? 0 : request.SpaceUsedLong();
+}
+
 request_kind kind_of(const fleet::fleet_request& request) {
   if (request.job().has_submit()) return request_kind::submission;
   return request.job().cancel() ? request_kind::cancel : request_kind::read;
@@ -102,7 +108,15 @@
 
 void entry_gateway_service::ask(const fleet::fleet_request& request,
                                 milliseconds limit, respond_function respond) {
-  auto it = std::make_shared<question>(context_.io, request);
+  auto it = std::make_shared<question>(context_, request);
+  if (!it->share.resize(detail::memory_of(request))) {
+    fleet::fleet_response refused;
+    refused.set_status(fleet::fleet_unavailable);
+    refused.set_reason("memory-limit");
+    refused.set_retry_after_ms(
+        static_cast<uint64_t>(detail::back_after.count()));
+    return respond(std::move(refused));
+  }
   it->respond = std::move(respond);
   it->asked = context_.clock.now();
   it->deadline = it->asked + limit;
