A backend server's answer without an end is cut

An entry box of a listed deployment read a backend server's answer with a chunk's line or trailers without an end into a buffer that grew with it, until the request's deadline.

Cause: as at the callers' addresses, the library takes no byte before the end, and the buffer had no bound.

--- a/routing/upstream.h
+++ b/routing/upstream.h
@@ -30,7 +30,12 @@
 
 /// A connection to a backend server.
 struct upstream_connection {
-  explicit upstream_connection(boost::asio::io_context& io) : stream(io) {}
+  /// Bounds what the library reads before it takes any of it: an answer's
+  /// header, a chunk's line, the trailers.
+  static constexpr size_t most_unparsed_bytes = 128 << 10;
+
+  explicit upstream_connection(boost::asio::io_context& io)
+      : stream(io), buffer(most_unparsed_bytes) {}
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
 };
