A caller that waits to be told to go on may be refused for memory

A connection whose answer is not read gives way to a new one after 5 s, as one that was answered; it kept its place until the idle limit. A failed accept closes a connection only for want of descriptors.

--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -69,7 +69,7 @@
   log_event("http", log_level::warn, "accept-failed")
       .with("door", door_)
       .with("error", cause.message());
-  make_room();
+  if (cause == boost::system::errc::too_many_files_open) make_room();
   accept_timer_.expires_after(detail::accept_pause);
   accept_timer_.async_wait(
       [this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
--- a/net/http-session.cc
+++ b/net/http-session.cc
@@ -69,7 +69,7 @@
 
 bool http_service::session::may_give_way(time_point now) const {
   if (stage_ == stage::lingering) return true;
-  if (stage_ != stage::waiting && stage_ != stage::reading) return false;
+  if (stage_ == stage::under_way) return false;
   return activity_.may_give_way(now);
 }
 
@@ -153,6 +153,7 @@
 
 void http_service::session::write(http_answer answer) {
   stage_ = stage::writing;
+  activity_ = {true, owner_.memory_.now()};
   share_.unpin();
   response_ = {};
   response_.version(detail::http_1_1);
@@ -189,6 +190,7 @@
   detail::http::async_write(
       stream_, *serializer_,
       [self = shared_from_this()](detail::beast::error_code ec, size_t) {
+        self->activity_.moved_at = self->owner_.memory_.now();
         const bool more = ec == detail::http::error::need_buffer;
         if (more && !self->shed_) return self->write_piece();
         self->on_written(ec);
@@ -202,7 +204,6 @@
   if (piece_.capacity() > memory_budget::uncounted_bytes) free_text(piece_);
   if (ec || shed_) return end();
   if (refused_) return linger();
-  activity_ = {true, owner_.memory_.now()};
   if (!response_.keep_alive()) return finish();
   wait();
 }
--- a/routing/caller-session-read.cc
+++ b/routing/caller-session-read.cc
@@ -67,8 +67,8 @@
   if (stage_ == stage::idle) stream_.cancel();
 }
 
-/// Only called while the next bytes are waited for; that read keeps its buffer
-/// until it is over.
+/// Only called while a request is read; the read that is under way keeps its
+/// buffer until it is over.
 void caller_session::shed() {
   shed_ = true;
   parser_.reset();
@@ -125,6 +125,7 @@
     if (in_body) field_bytes_ = field_bytes(*parser_);
     if (ec != detail::http::error::need_more) co_return ec;
     if (in_body) co_await send_continue();
+    if (std::exchange(shed_, false)) co_return detail::no_memory;
     if (!share_.resize(held_bytes())) co_return detail::no_memory;
     if (const auto read_ec = co_await read_some()) co_return read_ec;
   }
--- a/routing/entry-server.cc
+++ b/routing/entry-server.cc
@@ -72,7 +72,7 @@
       // Out of file descriptors, say: wait for some to be closed.
       log_event(detail::door, log_level::warn, "accept-failed")
           .with("error", ec.message());
-      make_room();
+      if (ec == boost::system::errc::too_many_files_open) make_room();
       pause.expires_after(milliseconds(20));
       co_await pause.async_wait(detail::await);
     }
