The largest change of an operator is read in calm

crowd-within_limits sends an operator's change of 64 MiB less 1,000 bytes to a listed box, whose gRPC addresses have a quota of 32 MiB: the quota bounds what waits, not what one message may be. Not run on the untouched code.

--- a/support/crowds/boxes.cc
+++ b/support/crowds/boxes.cc
@@ -22,6 +22,9 @@
   return static_cast<uint16_t>(first + getpid() % shares * each + i);
 }
 
+/// How long an operator waits.
+constexpr milliseconds patience{10'000};
+
 std::string text_of(const endpoint& it) { return str_cat(it.ip, ":", it.port); }
 
 std::string with_body(const std::string& head, const std::string& body) {
@@ -165,8 +168,17 @@
   }
 }
 
+bool listed_box::reads_change(size_t bytes) {
+  proto::apply_request change;
+  change.set_request_id("large");
+  change.set_replaces(1);
+  change.set_version(2);
+  change.set_dry_run(true);
+  change.set_author(std::string(bytes, 'a'));
+  return operator_client({text_of(operators())}, patience).apply(change).ok();
+}
+
 bool listed_box::answers_operators() {
-  constexpr milliseconds patience{10'000};
   return operator_client({text_of(operators())}, patience).status().ok();
 }
 
--- a/support/crowds/boxes.h
+++ b/support/crowds/boxes.h
@@ -72,6 +72,8 @@
   static std::string health_question();
   /// An operator is told the box's status.
   static bool answers_operators();
+  /// An operator's dry run of a change of so many bytes is answered.
+  static bool reads_change(size_t bytes);
 
  private:
   static void apply_state();
--- a/support/crowds/within-limits-test.cc
+++ b/support/crowds/within-limits-test.cc
@@ -98,6 +98,13 @@
   CHECK_TRUE(is_answered(door, in_chunks(head, body, body.size()), 404));
 }
 
+TEST(within_limits, largest_change_is_read) {
+  constexpr size_t most_message_bytes = 64 << 20;
+  constexpr size_t rest_bytes = 1'000;
+  listed_box box;
+  CHECK_TRUE(listed_box::reads_change(most_message_bytes - rest_bytes));
+}
+
 // A refusal did not come, or its connection was reset before it was read.
 TEST_GROUP(unread_refusals){};
 
