The quota of the gRPC addresses lets the largest message pass

The quota counts one message as well.

The library ends waiting streams one by one while others grow.

--- a/daemon/network-service.cc
+++ b/daemon/network-service.cc
@@ -21,9 +21,8 @@
       context_.io, context_.settings.box, context_.incarnation, addresses);
   calls_ = std::make_unique<peer_server>(
       context_.io, [this](const proto::peer_message& m) { receive(m); });
-  auto server =
-      start_grpc_server(context_.settings.self().peer_address, *calls_,
-                        grpc_memory_of(context_.settings.memory));
+  auto server = start_grpc_server(context_.settings.self().peer_address,
+                                  *calls_, context_.grpc_memory);
   if (!server.ok()) return server.status();
   server_ = std::move(*server);
   return absl::OkStatus();
--- a/daemon/operator-service.cc
+++ b/daemon/operator-service.cc
@@ -27,7 +27,7 @@
   holder_ = registry.find<holder_service>(service_names::holder);
   calls_ = std::make_unique<operator_server>(context_.io, *this);
   auto server = start_grpc_server(context_.settings.operators_address, *calls_,
-                                  grpc_memory_of(context_.settings.memory));
+                                  context_.grpc_memory);
   if (!server.ok()) return server.status();
   server_ = std::move(*server);
   record_->on_change([this](const auto&) { review(); });
--- a/daemon/process-context.h
+++ b/daemon/process-context.h
@@ -1,6 +1,8 @@
 // What all services of one process share.
 #pragma once
 
+#include <grpcpp/resource_quota.h>
+
 #include <boost/asio/io_context.hpp>
 #include <utility>
 
@@ -31,12 +33,15 @@
   metrics_registry metrics;
   memory_budget http_memory{clock, metrics, "http",
                             http_memory_of(settings.memory)};
+  /// Of the operators' and the other boxes' calls.
+  grpc::ResourceQuota grpc_memory;
   /// Connections hold their part of the budget until it ends.
   boost::asio::io_context io{1};
 
   void set_settings(process_settings it) {
     settings = std::move(it);
     http_memory.set_limit(http_memory_of(settings.memory));
+    grpc_memory.Resize(grpc_memory_of(settings.memory).value);
   }
 
   /// Rises with every start of this box.
--- a/net/grpc-server.cc
+++ b/net/grpc-server.cc
@@ -8,14 +8,13 @@
 namespace kestrelreel {
 
 absl::StatusOr<std::unique_ptr<grpc::Server>> start_grpc_server(
-    const std::string& address, grpc::Service& calls, byte_count memory) {
+    const std::string& address, grpc::Service& calls,
+    const grpc::ResourceQuota& quota) {
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.SetMaxReceiveMessageSize(max_message_bytes);
-  grpc::ResourceQuota quota(address);
-  quota.Resize(memory.value);
   builder.SetResourceQuota(quota);
   builder.RegisterService(&calls);
   std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
