A report on short jobs finds each job's standing once

Callers and workers saw a control box that answered neither heartbeats nor jobs for 10 s and more while one job of 12,500 steps, in a body of 250,000 bytes, waited for workers.

Cause, seen in stack samples of the leader: once a second it reports what short jobs wait for, and for each step that waits it asked for the standing of the step's job, which looks at all steps of the job: 156 million looks, some 2 s, each second. Ruled out: placing, the log, the 200 callers.

The standing is now found once for each job of a report.

--- a/fleet/wait-reports.cc
+++ b/fleet/wait-reports.cc
@@ -138,10 +138,14 @@
     reclaimable_by_priority& workers) {
   std::map<std::string, uint64_t> steps;
   std::map<std::string, uint64_t> cpu;
+  // To find a job's standing takes a look at all of its steps.
+  std::map<job_number, job_standing> standings;
   size_t lines = 0;
   for (const waiting_short_step& it : waits) {
     const job_entry& job = *book_.find(it.first.job);
-    const job_standing standing = current_job_order(it.first.job, job).standing;
+    const auto [known, is_new] = standings.try_emplace(it.first.job);
+    if (is_new) known->second = current_job_order(it.first.job, job).standing;
+    const job_standing standing = known->second;
     const char* name = to_string(standing);
     const auto& spec = job.spec.steps(static_cast<int>(it.first.step));
     ++steps[name];
