--- a/support/crowds/box-process.cc
+++ b/support/crowds/box-process.cc
@@ -31,6 +31,7 @@
   std::vector<std::string> words = {KESTRELREELD, "--settings", file};
   if (new_cluster) words.emplace_back("--new-cluster");
   std::vector<char*> args;
+  args.reserve(words.size() + 1);
   for (std::string& it : words) args.push_back(it.data());
   args.push_back(nullptr);
   posix_spawn_file_actions_t actions;
