--- a/net/connection-limit.cc
+++ b/net/connection-limit.cc
@@ -5,43 +5,44 @@
 namespace kestrelreel {
 namespace detail {
 
-/// A peer that has made no step for so long may be closed for a new one.
-constexpr milliseconds unserved_still{500};
-constexpr milliseconds served_still{5'000};
+/// A connection without progress for so long may be closed for a new one.
+constexpr milliseconds unserved_limit{500};
+constexpr milliseconds served_limit{5'000};
 constexpr const char* limited_total = "kestrelreel_connections_limited_total";
 
 }  // namespace detail
 
-bool connection_activity::may_give_way(time_point now) const {
+bool connection_activity::is_evictable(time_point now) const {
   const milliseconds limit =
-      served ? detail::served_still : detail::unserved_still;
-  return now - moved_at >= limit;
+      served ? detail::served_limit : detail::unserved_limit;
+  return now - progress_at >= limit;
 }
 
-bool connection_activity::gives_way_before(
+bool connection_activity::evicted_before(
     const connection_activity& other) const {
   if (served != other.served) return other.served;
-  return moved_at < other.moved_at;
+  return progress_at < other.progress_at;
 }
 
 void report_refused_connection(metrics_registry& metrics,
-                               const std::string& door, size_t connections) {
+                               const std::string& listener,
+                               size_t connections) {
   ++metrics.counter(detail::limited_total,
-                    {{"door", door}, {"what", "refused"}});
-  log_event(door, log_level::warn, "connection-refused")
+                    {{"listener", listener}, {"what", "refused"}});
+  log_event(listener, log_level::warn, "connection-refused")
       .with("connections", connections);
 }
 
-void report_closed_connection(metrics_registry& metrics,
-                              const std::string& door, size_t connections,
-                              const connection_activity& closed,
-                              time_point now) {
+void report_evicted_connection(metrics_registry& metrics,
+                               const std::string& listener, size_t connections,
+                               const connection_activity& closed,
+                               time_point now) {
   ++metrics.counter(detail::limited_total,
-                    {{"door", door}, {"what", "closed"}});
-  log_event(door, log_level::warn, "connection-gives-way")
+                    {{"listener", listener}, {"what", "evicted"}});
+  log_event(listener, log_level::warn, "connection-evicted")
       .with("connections", connections)
       .with("served", closed.served ? "yes" : "no")
-      .with("still-ms", (now - closed.moved_at).count());
+      .with("stalled-ms", (now - closed.progress_at).count());
 }
 
 }  // namespace kestrelreel
--- a/net/frame-stream.cc
+++ b/net/frame-stream.cc
@@ -39,10 +39,11 @@
   }
 }
 
-void frame_stream::count_in(memory_budget& memory, const std::string& door) {
+void frame_stream::count_in(memory_budget& memory,
+                            const std::string& listener) {
   memory_ = &memory;
-  activity_.moved_at = memory.now();
-  share_ = std::make_unique<memory_budget::share>(memory, *this, door);
+  activity_.progress_at = memory.now();
+  share_ = std::make_unique<memory_budget::share>(memory, *this, listener);
 }
 
 /// False when there is no room for what it holds.
@@ -84,7 +85,7 @@
         if (!self->open_) return;
         if (ec) return self->close();
         if (self->memory_ != nullptr) {
-          self->activity_.moved_at = self->memory_->now();
+          self->activity_.progress_at = self->memory_->now();
         }
         self->in_.append(self->chunk_.data(), n);
         if (!self->take_frames() || !self->count()) return self->close();
--- a/net/frame-stream.h
+++ b/net/frame-stream.h
@@ -41,7 +41,7 @@
 
   /// Counts what it holds from now on in `memory`, which must outlive it; it is
   /// closed when there is no room for that.
-  void count_in(memory_budget& memory, const std::string& door);
+  void count_in(memory_budget& memory, const std::string& listener);
   /// Begins to read. `on_close` is called once, when the connection is lost.
   void start(frame_handler on_frame, close_handler on_close);
   /// Queues a frame; all that came up while a write was under way goes out
@@ -51,8 +51,8 @@
   void shed() override;
   bool is_open() const { return open_; }
   /// True when it may be closed for a new connection.
-  bool may_give_way(time_point now) const {
-    return open_ && activity_.may_give_way(now);
+  bool is_evictable(time_point now) const {
+    return open_ && activity_.is_evictable(now);
   }
   const connection_activity& activity() const { return activity_; }
   /// Bytes of a frame have arrived and are not read yet.
--- a/net/http-service-test.cc
+++ b/net/http-service-test.cc
@@ -271,8 +271,8 @@
     exchange(once);
     return statuses() == "504";
   }));
-  const metric_labels closed{{"door", "test"}, {"what", "closed"}};
-  CHECK_TRUE(metrics.counter("kestrelreel_connections_limited_total", closed) >
+  const metric_labels evicted{{"listener", "test"}, {"what", "evicted"}};
+  CHECK_TRUE(metrics.counter("kestrelreel_connections_limited_total", evicted) >
              0);
 }
 
--- a/net/http-service.cc
+++ b/net/http-service.cc
@@ -22,10 +22,10 @@
 using detail::tcp;
 
 http_service::http_service(boost::asio::io_context& io, memory_budget& memory,
-                           std::string door, handler on_call,
+                           std::string listener, handler on_call,
                            std::string deadline_header)
     : memory_(memory),
-      door_(std::move(door)),
+      listener_(std::move(listener)),
       on_call_(std::move(on_call)),
       deadline_header_(std::move(deadline_header)),
       acceptor_(io),
@@ -67,7 +67,7 @@
 
 void http_service::accept_later(boost::system::error_code cause) {
   log_event("http", log_level::warn, "accept-failed")
-      .with("door", door_)
+      .with("listener", listener_)
       .with("error", cause.message());
   if (cause == boost::system::errc::too_many_files_open) make_room();
   accept_timer_.expires_after(detail::accept_pause);
@@ -79,7 +79,7 @@
 
 void http_service::admit(tcp::socket socket) {
   if (sessions_.size() >= limits_.connections && !make_room()) {
-    return report_refused_connection(memory_.metrics(), door_,
+    return report_refused_connection(memory_.metrics(), listener_,
                                      sessions_.size());
   }
   boost::system::error_code option;
@@ -91,10 +91,10 @@
 
 bool http_service::make_room() {
   const time_point now = memory_.now();
-  const auto found = first_to_give_way(sessions_, now);
+  const auto found = find_evictable(sessions_, now);
   if (!found) return false;
-  report_closed_connection(memory_.metrics(), door_, sessions_.size(),
-                           found->activity(), now);
+  report_evicted_connection(memory_.metrics(), listener_, sessions_.size(),
+                            found->activity(), now);
   found->close();
   sessions_.erase(found);
   return true;
--- a/net/http-service.h
+++ b/net/http-service.h
@@ -55,10 +55,10 @@
   using handler = std::function<void(const http_call&, respond_function)>;
 
   /// What its connections hold is counted in `memory`, which must outlive it.
-  /// `door` names it in the log and the metrics; `deadline_header` names the
-  /// header of `http_call::deadline_ms`.
+  /// `listener` names it in the log and the metrics; `deadline_header` names
+  /// the header of `http_call::deadline_ms`.
   http_service(boost::asio::io_context& io, memory_budget& memory,
-               std::string door, handler on_call,
+               std::string listener, handler on_call,
                std::string deadline_header = "");
   ~http_service();
 
@@ -78,13 +78,13 @@
   class session;
   void accept();
   void admit(boost::asio::ip::tcp::socket socket);
-  /// Closes the connection that gives way first; false when none may.
+  /// Closes a connection for a new one; false when none may be closed.
   bool make_room();
   void accept_later(boost::system::error_code cause);
   void note_cut_requests();
 
   memory_budget& memory_;
-  std::string door_;
+  std::string listener_;
   handler on_call_;
   std::string deadline_header_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/net/http-session.cc
+++ b/net/http-session.cc
@@ -29,8 +29,8 @@
 http_service::session::session(http_service& owner, detail::tcp::socket socket)
     : owner_(owner),
       stream_(std::move(socket)),
-      share_(owner.memory_, *this, owner.door_) {
-  activity_.moved_at = owner.memory_.now();
+      share_(owner.memory_, *this, owner.listener_) {
+  activity_.progress_at = owner.memory_.now();
 }
 
 void http_service::session::wait() {
@@ -67,10 +67,10 @@
   return stream_.socket().available(ec) > 0;
 }
 
-bool http_service::session::may_give_way(time_point now) const {
+bool http_service::session::is_evictable(time_point now) const {
   if (stage_ == stage::lingering) return true;
   if (stage_ == stage::under_way) return false;
-  return activity_.may_give_way(now);
+  return activity_.is_evictable(now);
 }
 
 void http_service::session::begin_request() {
@@ -115,7 +115,7 @@
   }
   if (ec) return end();
   buffer_.commit(n);
-  activity_.moved_at = owner_.memory_.now();
+  activity_.progress_at = owner_.memory_.now();
   if (stage_ == stage::waiting) begin_request();
   parse();
 }
@@ -136,7 +136,7 @@
 
 void http_service::session::refuse(unsigned status, const std::string& reason) {
   log_event("http", log_level::warn, "request-malformed")
-      .with("door", owner_.door_)
+      .with("listener", owner_.listener_)
       .with("error", reason)
       .with("status", status);
   parser_.reset();
@@ -190,7 +190,7 @@
   detail::http::async_write(
       stream_, *serializer_,
       [self = shared_from_this()](detail::beast::error_code ec, size_t) {
-        self->activity_.moved_at = self->owner_.memory_.now();
+        self->activity_.progress_at = self->owner_.memory_.now();
         const bool more = ec == detail::http::error::need_buffer;
         if (more && !self->shed_) return self->write_piece();
         self->on_written(ec);
--- a/net/http-session.h
+++ b/net/http-session.h
@@ -36,7 +36,7 @@
   /// Bytes of a request have arrived and are not read yet.
   bool has_unread() const;
   /// True when it may be closed for a new connection.
-  bool may_give_way(time_point now) const;
+  bool is_evictable(time_point now) const;
   const connection_activity& activity() const { return activity_; }
   int handle() { return stream_.socket().native_handle(); }
 
--- a/net/memory-budget-test.cc
+++ b/net/memory-budget-test.cc
@@ -1,4 +1,4 @@
-// Who gives way when the memory for connections is spent.
+// Which connection is shed when the memory for all of them is spent.
 #include "net/memory-budget.h"
 
 #include <CppUTest/TestHarness.h>
@@ -17,12 +17,12 @@
   time_point at{0};
 };
 
-/// Notes that it was asked to give way.
+/// Notes that it was shed.
 class test_holder final : public memory_holder {
  public:
   explicit test_holder(memory_budget& memory) : share(memory, *this, "test") {}
-  void shed() override { gave_way = true; }
-  bool gave_way = false;
+  void shed() override { was_shed = true; }
+  bool was_shed = false;
   memory_budget::share share;
 };
 
@@ -33,7 +33,7 @@
 
 struct held {
   size_t counted;
-  int moved_at_ms;
+  int progress_at_ms;
   bool pinned = false;
 };
 
@@ -43,12 +43,12 @@
   size_t asked;
   bool granted;
   /// The index of the holder that gave way; -1 for none.
-  int gave_way;
+  int was_shed;
 };
 
 const budget_row rows[] = {
     {"room is left", {{60 * kib, 990}}, 40 * kib, true, -1},
-    {"the larger one gives way",
+    {"the larger one is shed",
      {{30 * kib, 990}, {60 * kib, 990}},
      20 * kib,
      true,
@@ -58,17 +58,17 @@
      60 * kib,
      false,
      -1},
-    {"of equal ones the one that moved first",
+    {"of equal ones the one with the earliest progress",
      {{50 * kib, 990}, {50 * kib, 980}},
      50 * kib,
      true,
      1},
-    {"one that stands still, though it is smaller",
+    {"a stalled one, though it is smaller",
      {{60 * kib, 990}, {40 * kib, 100}},
      40 * kib,
      true,
      1},
-    {"one that stands still, though the asker is larger",
+    {"a stalled one, though the asker is larger",
      {{40 * kib, 100}},
      90 * kib,
      true,
@@ -89,12 +89,12 @@
   memory_budget memory{clock, metrics, "test", {limit}};
 };
 
-TEST(memory_budget_rows, who_gives_way) {
+TEST(memory_budget_rows, who_is_shed) {
   for (const budget_row& row : rows) {
     std::vector<std::unique_ptr<test_holder>> holders;
     for (const held& it : row.holders) {
       holders.push_back(std::make_unique<test_holder>(memory));
-      clock.at = milliseconds(it.moved_at_ms);
+      clock.at = milliseconds(it.progress_at_ms);
       CHECK_TRUE_TEXT(holders.back()->share.resize(uncounted + it.counted),
                       row.name);
       if (it.pinned) holders.back()->share.pin();
@@ -104,10 +104,10 @@
     CHECK_EQUAL_TEXT(row.granted, asker.share.resize(uncounted + row.asked),
                      row.name);
     for (size_t i = 0; i < holders.size(); ++i) {
-      CHECK_EQUAL_TEXT(static_cast<int>(i) == row.gave_way,
-                       holders[i]->gave_way, row.name);
+      CHECK_EQUAL_TEXT(static_cast<int>(i) == row.was_shed,
+                       holders[i]->was_shed, row.name);
     }
-    CHECK_FALSE_TEXT(asker.gave_way, row.name);
+    CHECK_FALSE_TEXT(asker.was_shed, row.name);
   }
   LONGS_EQUAL(0, memory.held());
 }
@@ -130,7 +130,7 @@
   second.share.pin();
   test_holder third(memory);
   CHECK_FALSE(third.share.resize(uncounted + limit));
-  const metric_labels door{{"budget", "test"}, {"door", "test"}};
-  LONGS_EQUAL(1, metrics.counter("kestrelreel_memory_shed_total", door));
-  LONGS_EQUAL(1, metrics.counter("kestrelreel_memory_refused_total", door));
+  const metric_labels labels{{"budget", "test"}, {"listener", "test"}};
+  LONGS_EQUAL(1, metrics.counter("kestrelreel_memory_shed_total", labels));
+  LONGS_EQUAL(1, metrics.counter("kestrelreel_memory_refused_total", labels));
 }
--- a/net/memory-budget.h
+++ b/net/memory-budget.h
@@ -22,7 +22,7 @@
 };
 
 /// Bounds what all connections hold beyond a little for each. When it is spent,
-/// a connection that stands still gives way, then one that holds more than the
+/// a stalled connection is shed, then one that holds at least as much as the
 /// asker; so a small request passes beside any number of large ones. Not
 /// thread-safe.
 class memory_budget {
@@ -30,8 +30,8 @@
   class share;
 
   /// `clock` and `metrics` must outlive it. `name` tells it from others in the
-  /// log and in `kestrelreel_memory_shed_total{budget,door}` and
-  /// `kestrelreel_memory_refused_total{budget,door}`.
+  /// log and in `kestrelreel_memory_shed_total{budget,listener}` and
+  /// `kestrelreel_memory_refused_total{budget,listener}`.
   memory_budget(const clock_source& clock, metrics_registry& metrics,
                 std::string name, byte_count limit)
       : clock_(clock),
@@ -67,19 +67,19 @@
 /// What one connection holds.
 class memory_budget::share {
  public:
-  /// `door` tells where the connection came in.
-  share(memory_budget& budget, memory_holder& holder, std::string door)
-      : budget_(budget), holder_(holder), door_(std::move(door)) {}
+  /// `listener` tells where the connection was accepted.
+  share(memory_budget& budget, memory_holder& holder, std::string listener)
+      : budget_(budget), holder_(holder), listener_(std::move(listener)) {}
   ~share() { release(); }
   share(const share&) = delete;
   share& operator=(const share&) = delete;
 
-  /// Tells what it holds now, at each step that its peer makes. False, and
-  /// nothing held, when there is no room for that; the holder then gives it
-  /// back. One that is alone always has room.
+  /// Tells what it holds now, at each progress of its peer. False, and nothing
+  /// held, when there is no room for that; the holder then releases it. One
+  /// that is alone always has room.
   [[nodiscard]] bool resize(size_t bytes);
   void release() { budget_.count(*this, 0); }
-  /// From now on it is not asked to give way, as its request may run.
+  /// From now on it is not shed, as its request may run.
   void pin() { pinned_ = true; }
   void unpin() { pinned_ = false; }
 
@@ -87,9 +87,9 @@
   friend class memory_budget;
   memory_budget& budget_;
   memory_holder& holder_;
-  std::string door_;
+  std::string listener_;
   size_t counted_ = 0;
-  time_point moved_at_{};
+  time_point progress_at_{};
   bool pinned_ = false;
 };
 
--- a/net/peer-mesh.cc
+++ b/net/peer-mesh.cc
@@ -27,7 +27,7 @@
 /// Boxes that may be connected by themselves; twice as many as the largest
 /// deployment has, and with callers' connections below a box's descriptors.
 constexpr size_t most_guests = 1'500;
-constexpr const char* door = "mesh";
+constexpr const char* listener = "mesh";
 /// Out of descriptors, say: some are closed meanwhile.
 constexpr milliseconds accept_pause{20};
 /// How often calls are looked through for those that took too long.
@@ -112,20 +112,20 @@
       });
 }
 
-/// Closes the guest that gives way first when there are too many.
+/// Closes a connection for the new one when there are too many.
 bool peer_mesh::has_room_for_guest() {
   if (guest_memory_ == nullptr || guests_.size() < detail::most_guests) {
     return true;
   }
   const time_point now = guest_memory_->now();
-  const stream_pointer found = first_to_give_way(guests_, now);
+  const stream_pointer found = find_evictable(guests_, now);
   if (!found) {
-    report_refused_connection(guest_memory_->metrics(), detail::door,
+    report_refused_connection(guest_memory_->metrics(), detail::listener,
                               guests_.size());
     return false;
   }
-  report_closed_connection(guest_memory_->metrics(), detail::door,
-                           guests_.size(), found->activity(), now);
+  report_evicted_connection(guest_memory_->metrics(), detail::listener,
+                            guests_.size(), found->activity(), now);
   found->close();
   return true;
 }
@@ -133,7 +133,7 @@
 void peer_mesh::adopt(boost::asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<frame_stream>(std::move(socket));
   if (guest_memory_ != nullptr) {
-    stream->count_in(*guest_memory_, detail::door);
+    stream->count_in(*guest_memory_, detail::listener);
   }
   guests_.insert(stream);
   const std::weak_ptr<frame_stream> weak = stream;
--- a/routing/caller-session-read.cc
+++ b/routing/caller-session-read.cc
@@ -75,9 +75,9 @@
   stream_.cancel();
 }
 
-bool caller_session::may_give_way(time_point now) const {
+bool caller_session::is_evictable(time_point now) const {
   if (closed_ || stage_ == stage::busy) return false;
-  return stage_ == stage::lingering || activity_.may_give_way(now);
+  return stage_ == stage::lingering || activity_.is_evictable(now);
 }
 
 bool caller_session::has_unread() {
@@ -138,7 +138,7 @@
   if (std::exchange(shed_, false)) co_return detail::no_memory;
   if (ec) co_return ec;
   buffer_.commit(n);
-  activity_.moved_at = context_.clock.now();
+  activity_.progress_at = context_.clock.now();
   stage_ = stage::reading;
   co_return ec;
 }
--- a/routing/caller-session.h
+++ b/routing/caller-session.h
@@ -56,7 +56,7 @@
   void shed() override;
 
   /// True when it may be closed for a new connection.
-  bool may_give_way(time_point now) const;
+  bool is_evictable(time_point now) const;
   const connection_activity& activity() const { return activity_; }
   /// Bytes of a request have arrived and are not read yet.
   bool has_unread();
--- a/routing/entry-server.cc
+++ b/routing/entry-server.cc
@@ -12,7 +12,7 @@
 namespace kestrelreel {
 namespace detail {
 
-constexpr const char* door = "callers";
+constexpr const char* listener = "callers";
 using boost::asio::ip::tcp;
 constexpr auto await = boost::asio::as_tuple(boost::asio::use_awaitable);
 
@@ -70,7 +70,7 @@
     if (!acceptor_.is_open()) co_return;
     if (ec) {
       // Out of file descriptors, say: wait for some to be closed.
-      log_event(detail::door, log_level::warn, "accept-failed")
+      log_event(detail::listener, log_level::warn, "accept-failed")
           .with("error", ec.message());
       if (ec == boost::system::errc::too_many_files_open) make_room();
       pause.expires_after(milliseconds(20));
@@ -81,7 +81,7 @@
 
 void entry_server::admit(detail::tcp::socket socket) {
   if (open_ >= max_connections_ && !make_room()) {
-    return report_refused_connection(context_.metrics, detail::door, open_);
+    return report_refused_connection(context_.metrics, detail::listener, open_);
   }
   boost::system::error_code ignored;
   socket.set_option(detail::tcp::no_delay(true), ignored);
@@ -92,10 +92,10 @@
 
 bool entry_server::make_room() {
   const time_point now = context_.clock.now();
-  caller_session* found = first_to_give_way(sessions_, now);
+  caller_session* found = find_evictable(sessions_, now);
   if (found == nullptr) return false;
-  report_closed_connection(context_.metrics, detail::door, open_,
-                           found->activity(), now);
+  report_evicted_connection(context_.metrics, detail::listener, open_,
+                            found->activity(), now);
   found->close();
   return true;
 }
--- a/routing/entry-server.h
+++ b/routing/entry-server.h
@@ -40,7 +40,7 @@
   boost::asio::awaitable<void> accept();
   void accept_waiting();
   void admit(boost::asio::ip::tcp::socket socket);
-  /// Closes the connection that gives way first; false when none may.
+  /// Closes a connection for a new one; false when none may be closed.
   bool make_room();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
--- a/support/crowds/boxes.h
+++ b/support/crowds/boxes.h
@@ -1,5 +1,5 @@
 // The boxes that a crowd meets, as real processes on loopback, and what an
-// ordinary client asks of each door.
+// ordinary client asks of each listener.
 #pragma once
 
 #include <unistd.h>
--- a/support/crowds/crowd-test-parts.h
+++ b/support/crowds/crowd-test-parts.h
@@ -1,4 +1,4 @@
-// Crowds and ordinary clients at the doors of real processes: each process
+// Crowds and ordinary clients at the listeners of real processes: each process
 // lives, holds no more memory and descriptors than a box has, and answers an
 // ordinary client beside the crowd and after it.
 #pragma once
@@ -26,9 +26,9 @@
 constexpr bool checks_memory = true;
 #endif
 
-/// A crowd at one door.
+/// A crowd at one listener.
 struct crowd_part {
-  endpoint door;
+  endpoint listener;
   size_t connections = 0;
   transmission what;
   /// In place of `what` where it names a call.
@@ -86,9 +86,9 @@
     crowd met;
     for (const crowd_part& it : row.crowd) {
       if (it.call.path.empty()) {
-        met.send(it.door, it.connections, it.what);
+        met.send(it.listener, it.connections, it.what);
       } else {
-        met.upload(it.door, it.connections, it.call);
+        met.upload(it.listener, it.connections, it.call);
       }
     }
     check_box(row, box, all);
--- a/support/crowds/http-crowd-test.cc
+++ b/support/crowds/http-crowd-test.cc
@@ -78,26 +78,30 @@
   return {head, field, fields * field.size(), chunked};
 }
 
-std::vector<crowd_row> endless_rows(const endpoint& door,
+std::vector<crowd_row> endless_rows(const endpoint& listener,
                                     const std::string& head,
                                     const ordinary& client) {
   const size_t n = endless_clients;
   return {
-      {"trailers", {{door, n, endless_trailers(head)}}, {client}},
-      {"a trailer's line", {{door, n, endless_trailer_line(head)}}, {client}},
-      {"a chunk's extension", {{door, n, endless_extension(head)}}, {client}},
+      {"trailers", {{listener, n, endless_trailers(head)}}, {client}},
+      {"a trailer's line",
+       {{listener, n, endless_trailer_line(head)}},
+       {client}},
+      {"a chunk's extension",
+       {{listener, n, endless_extension(head)}},
+       {client}},
   };
 }
 
-std::vector<crowd_row> unfinished_rows(const endpoint& door,
+std::vector<crowd_row> unfinished_rows(const endpoint& listener,
                                        const std::string& head,
                                        const ordinary& client) {
   const size_t n = body_clients;
   const size_t size = most_body_bytes;
   return {
-      {"one chunk", {{door, n, one_chunk(head, size)}}, {client}},
-      {"small chunks", {{door, n, small_chunks(head, size)}}, {client}},
-      {"a length", {{door, n, sized_body(head, size)}}, {client}},
+      {"one chunk", {{listener, n, one_chunk(head, size)}}, {client}},
+      {"small chunks", {{listener, n, small_chunks(head, size)}}, {client}},
+      {"a length", {{listener, n, sized_body(head, size)}}, {client}},
   };
 }
 
@@ -135,10 +139,10 @@
   const crowd_part half{seeded_pair::callers(), body_clients / 2,
                         one_chunk(job_head, most_body_bytes)};
   crowd_part other = half;
-  other.door = seeded_pair::readiness();
+  other.listener = seeded_pair::readiness();
   other.what = one_chunk(question_head, most_body_bytes);
   constexpr size_t header_clients = 100;
-  play_at_entry({{"at both doors", {half, other}, {job, readiness}},
+  play_at_entry({{"at both listeners", {half, other}, {job, readiness}},
                  {"many fields",
                   {{seeded_pair::callers(), header_clients,
                     many_fields(job_head, most_header_bytes)}},
--- a/support/crowds/within-limits-test.cc
+++ b/support/crowds/within-limits-test.cc
@@ -39,7 +39,7 @@
 
 struct request_row {
   const char* name;
-  endpoint door;
+  endpoint listener;
   std::string request;
   unsigned status;
 };
@@ -57,22 +57,23 @@
     fields += "X-Long: " + std::string(usual_line_bytes / 2, 'a') + "\r\n";
   }
   const std::string word(usual_line_bytes, 'a');
-  const endpoint door = seeded_pair::callers();
+  const endpoint listener = seeded_pair::callers();
   const request_row rows[] = {
-      {"a length", door, sized(job_head, body), 200},
-      {"one chunk", door, in_chunks(job_head, body, body.size()), 200},
-      {"chunks of 1,000 bytes", door, in_chunks(job_head, body, 1'000), 200},
-      {"chunks of 1 byte", door, in_chunks(job_head, body, 1), 200},
-      {"extensions and a trailer", door,
+      {"a length", listener, sized(job_head, body), 200},
+      {"one chunk", listener, in_chunks(job_head, body, body.size()), 200},
+      {"chunks of 1,000 bytes", listener, in_chunks(job_head, body, 1'000),
+       200},
+      {"chunks of 1 byte", listener, in_chunks(job_head, body, 1), 200},
+      {"extensions and a trailer", listener,
        in_chunks(job_head, body, 1'000, ";e=" + word, "X-T: " + word + "\r\n"),
        200},
-      {"the largest header", door, sized(job_head + fields, job_body), 200},
-      {"the largest body", door,
+      {"the largest header", listener, sized(job_head + fields, job_body), 200},
+      {"the largest body", listener,
        sized(job_head, padded(job_body, most_body_bytes)), 200},
   };
   seeded_pair boxes;
   for (const request_row& it : rows) {
-    CHECK_TRUE_TEXT(is_answered(it.door, it.request, it.status), it.name);
+    CHECK_TRUE_TEXT(is_answered(it.listener, it.request, it.status), it.name);
   }
 }
 
@@ -82,20 +83,20 @@
   const std::string usual_body = usual.substr(usual.find('{'));
   const std::string head = usual.substr(0, usual.find("Content-Length"));
   const std::string body = padded(usual_body, most_body_bytes);
-  const endpoint door = seeded_pair::controls();
-  CHECK_TRUE(is_answered(door, sized(head, body), 200));
-  CHECK_TRUE(is_answered(door, in_chunks(head, body, 1'000), 200));
-  CHECK_TRUE(is_answered(door, in_chunks(head, body, body.size()), 200));
+  const endpoint listener = seeded_pair::controls();
+  CHECK_TRUE(is_answered(listener, sized(head, body), 200));
+  CHECK_TRUE(is_answered(listener, in_chunks(head, body, 1'000), 200));
+  CHECK_TRUE(is_answered(listener, in_chunks(head, body, body.size()), 200));
 }
 
 TEST(within_limits, listed_callers_are_answered) {
   listed_box box;
   const std::string head = "POST /none HTTP/1.1\r\nHost: entry\r\n";
   const std::string body(most_body_bytes, 'a');
-  const endpoint door = listed_box::callers();
-  CHECK_TRUE(is_answered(door, sized(head, body), 404));
-  CHECK_TRUE(is_answered(door, in_chunks(head, body, 1'000), 404));
-  CHECK_TRUE(is_answered(door, in_chunks(head, body, body.size()), 404));
+  const endpoint listener = listed_box::callers();
+  CHECK_TRUE(is_answered(listener, sized(head, body), 404));
+  CHECK_TRUE(is_answered(listener, in_chunks(head, body, 1'000), 404));
+  CHECK_TRUE(is_answered(listener, in_chunks(head, body, body.size()), 404));
 }
 
 TEST(within_limits, largest_change_is_read) {
@@ -126,6 +127,6 @@
        in_chunks(listed, job_body, 1'000, "", "X: " + line), 431},
   };
   for (const request_row& it : rows) {
-    CHECK_TRUE_TEXT(is_answered(it.door, it.request, it.status), it.name);
+    CHECK_TRUE_TEXT(is_answered(it.listener, it.request, it.status), it.name);
   }
 }
