--- /dev/null
+++ b/review/standins-2/scenes.cc
@@ -0,0 +1,335 @@
+#include "scenes.h"
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+
+#include "runner.h"
+
+namespace review2 {
+namespace {
+
+constexpr milliseconds founding_limit{20'000};
+constexpr milliseconds start_limit{10'000};
+
+using runners = std::vector<std::unique_ptr<runner>>;
+
+const std::vector<route> one_route = {{"r-a", "/pufi791/", 4}};
+
+const std::string job_path = "/pufi791/5c0e7a21d94b36f8";
+
+runner_settings settings_of(const deployment& boxes, unsigned i) {
+  runner_settings out;
+  out.id = "i-" + std::to_string(i);
+  out.machine = "m-" + std::to_string(i);
+  out.address = boxes.spare_address(i);
+  out.labels = {"a", "r1-" + std::to_string(i / 8)};
+  return out;
+}
+
+std::unique_ptr<runner> launch(const deployment& boxes, run_book& book,
+                               record& seen, runner_settings it) {
+  return std::make_unique<runner>(std::move(it), boxes.controls(), book, seen);
+}
+
+bool all_have_leases(const runners& all) {
+  return eventually(founding_limit, [&] {
+    return std::all_of(all.begin(), all.end(),
+                       [](const auto& it) { return it->has_lease(); });
+  });
+}
+
+std::string steps(const std::string& spec, const std::string& step) {
+  return "{\"Spec\":\"" + spec + "\",\"Steps\":[{" + step + "}]}";
+}
+
+bool state_is(const http_reply& reply, const std::string& state) {
+  return reply.status == 200 &&
+         reply.body.find("\"" + state + "\"") != std::string::npos;
+}
+
+int verdict(const stage& on, bool is_broken, const std::string& what) {
+  on.seen.note((is_broken ? "BROKEN: " : "held: ") + what);
+  return is_broken ? broken : held;
+}
+
+}  // namespace
+
+/// One of ten runners goes down and up by turns while it has the only task of
+/// a job that no other may run.
+int play_flapping_runner(const stage& on) {
+  constexpr unsigned count = 10;
+  constexpr milliseconds phase{1'400};
+  constexpr milliseconds flaps_for{6'500};
+  constexpr milliseconds into_the_run{120};
+  constexpr milliseconds watched_for{30'000};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(one_route)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  for (unsigned i = 0; i < count; ++i) {
+    runner_settings it = settings_of(boxes, i);
+    if (i == 0) it.labels[0] = "b";
+    all.push_back(launch(boxes, book, on.seen, it));
+  }
+  if (!all_have_leases(all)) return not_run;
+  const std::string job =
+      steps("ms=1500", R"("Count":1,"Cpu":500,"MemMb":256,"EstimateMs":1500,)"
+                       R"("Requires":"b")");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  if (!eventually(start_limit, [&] { return !book.all().empty(); }))
+    return not_run;
+  nap(into_the_run);
+  const auto flaps_until = clock_type::now() + flaps_for;
+  for (unsigned life = 1; on.trouble && clock_type::now() < flaps_until;
+       ++life) {
+    all[0]->crash();
+    nap(phase);
+    runner_settings it = all[0]->settings();
+    it.id = "i-0-" + std::to_string(life);
+    all[0] = launch(boxes, book, on.seen, it);
+    nap(phase);
+  }
+  http_reply last;
+  eventually(watched_for, [&] {
+    last = boxes.call(1, "GET", job_path);
+    nap(milliseconds(500));
+    return state_is(last, "succeeded") || state_is(last, "failed");
+  });
+  const bool lost = state_is(last, "failed") && book.count("failed") == 0;
+  return verdict(on, lost,
+                 "the job's state and " + std::to_string(book.count("failed")) +
+                     " runs that ended 'failed': " + last.body);
+}
+
+namespace {
+
+/// Two runs of one task at once, on runners that are up.
+bool ran_twice_at_once(const run_book& book, record& seen) {
+  const std::vector<seen_run> all = book.all();
+  bool found = false;
+  for (const seen_run& a : all) {
+    for (const seen_run& b : all) {
+      if (a.task != b.task || a.run >= b.run) continue;
+      const bool over = a.ended && *a.ended <= b.began;
+      if (over) continue;
+      found = true;
+      seen.note("run " + std::to_string(b.run) + " of " + a.task +
+                " began at " + std::to_string(b.began.count()) + " ms on " +
+                b.runner + ", run " + std::to_string(a.run) + " on " +
+                a.runner +
+                (a.ended ? " ended at " + std::to_string(a.ended->count())
+                         : " had not ended"));
+    }
+  }
+  return found;
+}
+
+}  // namespace
+
+/// A runner with a task that lasts drains and leaves; the connection of its
+/// DELETE is reset once the system has the call.
+int play_unanswered_leave(const stage& on) {
+  constexpr unsigned count = 3;
+  constexpr milliseconds remaining{9'000};
+  constexpr milliseconds serves_on{2'500};
+  constexpr milliseconds ends_after{3'000};
+  constexpr milliseconds watched_for{3'000};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(one_route)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  for (unsigned i = 0; i < count; ++i)
+    all.push_back(launch(boxes, book, on.seen, settings_of(boxes, i)));
+  if (!all_have_leases(all)) return not_run;
+  const std::string job =
+      steps("listener", R"("Count":1,"Cpu":500,"MemMb":256,)"
+                        R"("EstimateMs":900,"LongRunning":true)");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  if (!eventually(start_limit, [&] { return !book.all().empty(); }))
+    return not_run;
+  const std::string host = book.all().front().runner;
+  runner& leaver = **std::find_if(all.begin(), all.end(), [&](const auto& it) {
+    return it->settings().id == host;
+  });
+  nap(milliseconds(1'000));
+  leaver.drain(remaining);
+  if (!eventually(start_limit, [&] { return leaver.drain_acknowledged(); }))
+    return not_run;
+  on.seen.note("the drain of " + host + " is acknowledged");
+  nap(serves_on);
+  const std::string at = boxes.spare_address(count);
+  const one_call_proxy link(at);
+  int passed = 0;
+  std::thread passing(
+      [&] { passed = link.pass(boxes.controls().front(), on.trouble); });
+  const http_reply reply =
+      ask(at, {"DELETE", "/instances/" + host, ""}, milliseconds(1'000));
+  passing.join();
+  on.seen.note("DELETE /instances/" + host + ": the system answered " +
+               std::to_string(passed) + ", the runner got " +
+               std::to_string(reply.status));
+  if (passed != 200) return not_run;
+  if (reply.status != 200) nap(ends_after);
+  leaver.end();
+  nap(watched_for);
+  return verdict(on, ran_twice_at_once(book, on.seen),
+                 "no two runs of one task at once");
+}
+
+/// An evacuation is taken back and ordered again while a control box is frozen
+/// that was sent the taking back first.
+int play_late_order(const stage& on) {
+  constexpr milliseconds frozen_for{4'000};
+  /// `EvacuateMs` and `ContactMs`, and a second more.
+  constexpr milliseconds settled{5'000 + 4'000 + 1'000};
+  constexpr milliseconds watched_for{5'000};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(one_route)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  const char* const zones[] = {"kumluca", "demre", "serik"};
+  for (unsigned i = 0; i < 3; ++i) {
+    runner_settings it = settings_of(boxes, i);
+    it.zone = zones[i];
+    all.push_back(launch(boxes, book, on.seen, it));
+  }
+  if (!all_have_leases(all)) return not_run;
+  const auto leader = boxes.number_of(all[0]->heartbeat_address());
+  if (!leader) return not_run;
+  const unsigned frozen = (*leader + 1) % 3;
+  const http_question evacuate{"POST", "/evacuate/demre", ""};
+  const http_question take_back{"DELETE", "/evacuate/demre", ""};
+  if (boxes.order(evacuate, *leader) != 200) return not_run;
+  nap(milliseconds(1'000));
+  const auto frozen_at = clock_type::now();
+  if (on.trouble) boxes.signal(frozen, SIGSTOP);
+  const bool taken_back = boxes.order(take_back, frozen) == 200;
+  nap(milliseconds(1'000));
+  const bool again = boxes.order(evacuate, frozen + 1) == 200;
+  const bool in_time = clock_type::now() < frozen_at + frozen_for;
+  std::this_thread::sleep_until(frozen_at + frozen_for);
+  if (on.trouble) boxes.signal(frozen, SIGCONT);
+  if (!taken_back || !again || !in_time) return not_run;
+  nap(settled);
+  const std::string job =
+      steps("ms=500", R"("Count":3,"Cpu":500,"MemMb":256,)"
+                      R"("EstimateMs":500,"AntiAffinity":1)");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  nap(watched_for);
+  const auto runs = book.all();
+  const bool started = std::any_of(runs.begin(), runs.end(),
+                                   [](auto& it) { return it.zone == "demre"; });
+  if (runs.empty()) return not_run;
+  return verdict(on, started, "no start in demre, which is evacuated");
+}
+
+/// Two of 24 runners fail all that they start; a gang has members on both.
+int play_failing_gang(const stage& on) {
+  constexpr unsigned count = 24;
+  constexpr unsigned failing = 2;
+  constexpr milliseconds fails_for{6'500};
+  constexpr milliseconds watched_for{30'000};
+  const std::vector<route> routes = {{"r-a", "/pufi791/", failing}};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(routes)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  for (unsigned i = 0; i < count; ++i) {
+    runner_settings it = settings_of(boxes, i);
+    it.fails_all = on.trouble && i < failing;
+    all.push_back(launch(boxes, book, on.seen, it));
+  }
+  if (!all_have_leases(all)) return not_run;
+  const std::string job =
+      steps("gang=24 ms=800", R"("Count":24,"Cpu":500,"MemMb":256,)"
+                              R"("EstimateMs":800,"Gang":true,)"
+                              R"("AntiAffinity":1)");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  const auto sound_at = clock_type::now() + fails_for;
+  http_reply last;
+  eventually(watched_for, [&] {
+    if (clock_type::now() >= sound_at)
+      for (const auto& it : all) it->fail_all(false);
+    last = boxes.call(1, "GET", job_path);
+    nap(milliseconds(250));
+    return state_is(last, "succeeded") || state_is(last, "failed");
+  });
+  std::set<unsigned> failed_runs;
+  for (const seen_run& it : book.all()) {
+    if (it.how == "failed") failed_runs.insert(it.run);
+  }
+  const bool lost = state_is(last, "failed") && failed_runs.size() < failing;
+  return verdict(on, lost,
+                 "the gang has failed " + std::to_string(failed_runs.size()) +
+                     " times of " + std::to_string(failing) + ": " + last.body);
+}
+
+/// A job waits for a runner that is lost for good, and has not begun.
+int play_pending_count(const stage& on) {
+  constexpr unsigned count = 8;
+  /// `visible_ms` and 2 s, and a second more.
+  constexpr milliseconds visible{3'000 + 2'000 + 1'000};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(one_route)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  for (unsigned i = 0; i < count; ++i) {
+    runner_settings it = settings_of(boxes, i);
+    if (i == 0) it.labels[0] = "b";
+    all.push_back(launch(boxes, book, on.seen, it));
+  }
+  if (!all_have_leases(all)) return not_run;
+  nap(milliseconds(500));
+  if (on.trouble) all[0]->crash();
+  const std::string job =
+      steps("ms=30000", R"("Count":1,"Cpu":500,"MemMb":256,)"
+                        R"("EstimateMs":900,"Requires":"b")");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  nap(visible);
+  unsigned wrong = 0;
+  constexpr unsigned looks = 5;
+  for (unsigned i = 0; i < looks; ++i) {
+    const http_reply reply = boxes.call(i % 2, "GET", "/pufi791/");
+    const bool begun = !book.all().empty();
+    const bool none = reply.body.find("\"Pending\":0}") != std::string::npos;
+    if (reply.status == 200 && none && !begun) ++wrong;
+    nap(milliseconds(1'000));
+  }
+  boxes.call(0, "GET", job_path);
+  return verdict(on, wrong > 0,
+                 "one job waits and has not begun; asked " +
+                     std::to_string(looks) +
+                     " times, told 0: " + std::to_string(wrong));
+}
+
+/// A configuration removes a route and adds one at the same host and prefix.
+int play_renamed_route(const stage& on) {
+  constexpr unsigned count = 3;
+  constexpr milliseconds settled{4'000};
+  const std::vector<route> next = {{"r-b", "/pufi791/", 4}};
+  deployment boxes(on.program, on.seen);
+  if (!boxes.start(one_route)) return not_run;
+  run_book book(on.seen);
+  runners all;
+  for (unsigned i = 0; i < count; ++i)
+    all.push_back(launch(boxes, book, on.seen, settings_of(boxes, i)));
+  if (!all_have_leases(all)) return not_run;
+  const std::string job =
+      steps("listener", R"("Count":1,"Cpu":500,"MemMb":256,)"
+                        R"("EstimateMs":900,"LongRunning":true)");
+  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+  if (!eventually(start_limit, [&] { return !book.all().empty(); }))
+    return not_run;
+  if (boxes.put_config(2, on.trouble ? next : one_route) != 200) return not_run;
+  nap(settled);
+  const int status = boxes.call(1, "GET", job_path).status;
+  const int cancelled = boxes.call(1, "DELETE", job_path).status;
+  nap(settled);
+  const bool runs_on = !book.all().front().ended;
+  on.seen.note("the cancel was answered with " + std::to_string(cancelled) +
+               (runs_on ? ", and the task runs on" : ", and the task ended"));
+  return verdict(on, status == 410, "an accepted job is known");
+}
+
+}  // namespace review2
--- /dev/null
+++ b/review/standins-2/scenes.h
@@ -0,0 +1,31 @@
+// The cases that are scripts. Each returns 0 if the rule held, 1 if it was
+// broken and 2 if the case couldn't run.
+#pragma once
+
+#include <string>
+
+#include "deployment.h"
+
+namespace review2 {
+
+/// What a scene is played with.
+struct stage {
+  /// The program that the deploy file runs.
+  std::string program;
+  record& seen;
+  /// False: the same without the disruption.
+  bool trouble = true;
+};
+
+int play_flapping_runner(const stage& on);
+int play_unanswered_leave(const stage& on);
+int play_late_order(const stage& on);
+int play_failing_gang(const stage& on);
+int play_pending_count(const stage& on);
+int play_renamed_route(const stage& on);
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int not_run = 2;
+
+}  // namespace review2
