Review case 4: a leave without an acknowledgement runs a task twice

Breaks: TWICE, run 2 of a task that lasts begins while run 1 goes on on a runner that is up. At fault: fleet_controller::review_leaves, which declares runs that last lost as soon as a leave is recorded.

--- a/review/standins-2/wire.h
+++ b/review/standins-2/wire.h
@@ -29,16 +29,16 @@
                milliseconds limit);
 
 /// Listens on an address, takes one connection and passes its call on to
-/// `target`. With `reset`, the connection is reset once the target has
-/// answered, and the answer is lost; else the answer is passed back. Returns
-/// the status of the target's answer.
+/// `target`. With `silent`, the connection goes silent once the target has the
+/// call: it stays open and the answer is lost. Returns the status of the
+/// target's answer.
 class one_call_proxy {
  public:
   explicit one_call_proxy(const std::string& address);
   ~one_call_proxy();
   one_call_proxy(const one_call_proxy&) = delete;
   one_call_proxy& operator=(const one_call_proxy&) = delete;
-  int pass(const std::string& target, bool reset) const;
+  int pass(const std::string& target, bool silent) const;
 
  private:
   int listener_ = -1;
