--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -14,7 +14,7 @@
       {"late-order", play_late_order},
       {"failing-gang", play_failing_gang},
       {"pending-count", play_pending_count},
-      {"renamed-route", play_renamed_route}};
+      {"avoided-runner", play_avoided_runner}};
   const auto found = argc == 4 ? scenes.find(argv[1]) : scenes.end();
   if (found == scenes.end()) {
     std::cerr << "usage: scene NAME PROGRAM RECORD\n";
--- a/review/standins-2/scenes.cc
+++ b/review/standins-2/scenes.cc
@@ -257,33 +257,69 @@
                      " times, told 0: " + std::to_string(wrong));
 }
 
-/// A configuration removes a route and adds one at the same host and prefix.
-int play_renamed_route(const stage& on) {
-  constexpr unsigned count = 3;
-  constexpr milliseconds settled{4'000};
-  const std::vector<route> next = {{"r-b", "/pufi791/", 4}};
+namespace {
+
+/// The longest time for which a task that lasts had no run in a calm: from 4 s
+/// after the disruption, and from 6 s after the task's last run.
+milliseconds longest_outage(const run_book& book, milliseconds sound_at,
+                            milliseconds until) {
+  constexpr milliseconds calm_before{4'000};
+  constexpr milliseconds after_last_run{6'000};
+  std::map<std::string, std::vector<seen_run>> tasks;
+  for (const seen_run& it : book.all()) tasks[it.task].push_back(it);
+  milliseconds longest{0};
+  for (const auto& [task, runs] : tasks) {
+    for (size_t i = 0; i < runs.size(); ++i) {
+      if (!runs[i].ended) continue;
+      const milliseconds next = i + 1 < runs.size() ? runs[i + 1].began : until;
+      const milliseconds from =
+          std::max(sound_at + calm_before, *runs[i].ended + after_last_run);
+      longest = std::max(longest, next - from);
+    }
+  }
+  return longest;
+}
+
+}  // namespace
+
+/// One of 16 runners fails all that it starts for 4 s, and is sound again.
+int play_avoided_runner(const stage& on) {
+  constexpr unsigned count = 16;
+  constexpr unsigned job_count = 12;
+  constexpr milliseconds fails_for{4'000};
+  constexpr milliseconds watched_for{25'000};
+  constexpr milliseconds most{3'000};
   deployment boxes(on.program, on.seen);
   if (!boxes.start(one_route)) return not_run;
   run_book book(on.seen);
   runners all;
-  for (unsigned i = 0; i < count; ++i)
-    all.push_back(launch(boxes, book, on.seen, settings_of(boxes, i)));
+  for (unsigned i = 0; i < count; ++i) {
+    runner_settings it = settings_of(boxes, i);
+    if (i == 0) it.labels[0] = "b";
+    it.fails_all = on.trouble && i == 0;
+    all.push_back(launch(boxes, book, on.seen, it));
+  }
   if (!all_have_leases(all)) return not_run;
   const std::string job =
       steps("listener", R"("Count":1,"Cpu":500,"MemMb":256,)"
-                        R"("EstimateMs":900,"LongRunning":true)");
-  if (boxes.call(0, "POST", job_path, job).status != 200) return not_run;
+                        R"("EstimateMs":900,"LongRunning":true,)"
+                        R"("Requires":"b")");
+  for (unsigned i = 0; i < job_count; ++i) {
+    const std::string path = "/pufi791/5c0e7a21d94b36" + std::to_string(10 + i);
+    if (boxes.call(0, "POST", path, job).status != 200) return not_run;
+  }
   if (!eventually(start_limit, [&] { return !book.all().empty(); }))
     return not_run;
-  if (boxes.put_config(2, on.trouble ? next : one_route) != 200) return not_run;
-  nap(settled);
-  const int status = boxes.call(1, "GET", job_path).status;
-  const int cancelled = boxes.call(1, "DELETE", job_path).status;
-  nap(settled);
-  const bool runs_on = !book.all().front().ended;
-  on.seen.note("the cancel was answered with " + std::to_string(cancelled) +
-               (runs_on ? ", and the task runs on" : ", and the task ended"));
-  return verdict(on, status == 410, "an accepted job is known");
+  nap(fails_for);
+  all[0]->fail_all(false);
+  const milliseconds sound_at = on.seen.now();
+  on.seen.note("the runner is sound");
+  nap(watched_for);
+  const milliseconds longest = longest_outage(book, sound_at, on.seen.now());
+  return verdict(on, longest >= most,
+                 "a task that lasts had no run in a calm for at most " +
+                     std::to_string(std::max<int64_t>(0, longest.count())) +
+                     " ms");
 }
 
 }  // namespace review2
