Review case 4: cancelled jobs take all control boxes over their memory

After some 80 valid jobs of 20,000 steps, each handed in and cancelled, every control box holds more than its 256 MB. The platform ends it and starts it again; it reads the same jobs from its disk and goes over its memory again. A client that asks for an ordinary job that had succeeded gets nothing but 503.

At fault: fleet/job-book.cc, finish keeps an ended job's steps for finished_job_retention (125 s); max_live_tasks in fleet/controller-submissions.cc counts only jobs that have not ended.

--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr unsigned control_count = 3;
+/// Of a control box, as its settings tell it.
+constexpr size_t machine_memory = size_t{256} << 20;
 constexpr unsigned entry_count = 2;
 constexpr milliseconds call_limit{1'000};
 constexpr milliseconds client_limit{3'000};
@@ -176,6 +178,60 @@
   seen_.note("signal " + std::to_string(number) + " to " + name);
 }
 
+size_t deployment::memory_of(unsigned control) const {
+  const pid_t pid = processes_.at("control-" + std::to_string(control));
+  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+  constexpr size_t kilobyte = 1'024;
+  std::string name;
+  while (in >> name) {
+    size_t n = 0;
+    if (name == "VmRSS:" && in >> n) return n * kilobyte;
+  }
+  return 0;
+}
+
+void deployment::end_and_start_again(unsigned control) {
+  constexpr milliseconds delay{500};
+  signal(control, SIGKILL);
+  const std::string name = "control-" + std::to_string(control);
+  ::waitpid(processes_.at(name), nullptr, 0);
+  nap(delay);
+  launch(name);
+}
+
+memory_guard::memory_guard(deployment& boxes, record& seen)
+    : boxes_(boxes),
+      seen_(seen),
+      ends_(boxes.controls().size()),
+      thread_([this] { watch(); }) {}
+
+memory_guard::~memory_guard() {
+  over_ = true;
+  thread_.join();
+}
+
+std::vector<unsigned> memory_guard::ends() const {
+  const std::lock_guard lock(mutex_);
+  return ends_;
+}
+
+void memory_guard::watch() {
+  constexpr milliseconds pause{20};
+  while (!over_) {
+    for (unsigned i = 0; i < boxes_.controls().size(); ++i) {
+      const size_t held = boxes_.memory_of(i);
+      if (held <= machine_memory) continue;
+      seen_.note("control-" + std::to_string(i) + " holds " +
+                 std::to_string(held) + " bytes of " +
+                 std::to_string(machine_memory));
+      boxes_.end_and_start_again(i);
+      const std::lock_guard lock(mutex_);
+      ++ends_[i];
+    }
+    nap(pause);
+  }
+}
+
 std::optional<unsigned> deployment::number_of(
     const std::string& control) const {
   for (unsigned i = 0; i < controls_.size(); ++i) {
@@ -223,11 +279,16 @@
 
 http_reply deployment::call(unsigned entry, const std::string& method,
                             const std::string& path, const std::string& body) {
+  constexpr size_t most_shown = 4'000;
   const http_reply reply =
       ask(entries_.at(entry), {method, path, body}, client_limit);
+  const std::string shown = body.size() <= most_shown
+                                ? body
+                                : body.substr(0, 100) + "... of " +
+                                      std::to_string(body.size()) + " bytes";
   seen_.note("client " + method + " " + path + " at entry-" +
-             std::to_string(entry) + (body.empty() ? "" : " " + body) + " -> " +
-             std::to_string(reply.status) + " " + reply.body);
+             std::to_string(entry) + (body.empty() ? "" : " " + shown) +
+             " -> " + std::to_string(reply.status) + " " + reply.body);
   return reply;
 }
 
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -3,11 +3,13 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <fstream>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "wire.h"
@@ -47,6 +49,10 @@
   /// takes too long.
   bool start(const std::vector<route>& routes);
   void signal(unsigned control, int number);
+  /// What the control box's process holds of its machine's memory.
+  size_t memory_of(unsigned control) const;
+  /// Ends the control box's process, and starts it again after a short delay.
+  void end_and_start_again(unsigned control);
   const std::vector<std::string>& controls() const { return controls_; }
   const std::string& entry(unsigned i) const { return entries_.at(i); }
   /// A free address of this deployment's, for a proxy or a runner.
@@ -79,6 +85,29 @@
   std::map<std::string, pid_t> processes_;
 };
 
+/// The platform ends a control box's process that holds more than its machine's
+/// memory, and starts it again.
+class memory_guard {
+ public:
+  memory_guard(deployment& boxes, record& seen);
+  ~memory_guard();
+  memory_guard(const memory_guard&) = delete;
+  memory_guard& operator=(const memory_guard&) = delete;
+
+  /// How often each control box's process was ended.
+  std::vector<unsigned> ends() const;
+
+ private:
+  void watch();
+
+  deployment& boxes_;
+  record& seen_;
+  mutable std::mutex mutex_;
+  std::vector<unsigned> ends_;
+  std::atomic<bool> over_{false};
+  std::thread thread_;
+};
+
 /// Waits until it holds; false when it does not in that time.
 template <typename Holds>
 bool eventually(milliseconds limit, const Holds& holds);
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -13,8 +13,8 @@
       {"unanswered-leave", play_unanswered_leave},
       {"late-order", play_late_order},
       {"failing-gang", play_failing_gang},
-      {"pending-count", play_pending_count},
-      {"avoided-runner", play_avoided_runner}};
+      {"avoided-runner", play_avoided_runner},
+      {"cancelled-jobs", play_cancelled_jobs}};
   const auto found = argc == 4 ? scenes.find(argv[1]) : scenes.end();
   if (found == scenes.end()) {
     std::cerr << "usage: scene NAME PROGRAM RECORD\n";
--- a/review/standins-2/scenes.h
+++ b/review/standins-2/scenes.h
@@ -20,8 +20,8 @@
 int play_unanswered_leave(const stage& on);
 int play_late_order(const stage& on);
 int play_failing_gang(const stage& on);
-int play_pending_count(const stage& on);
 int play_avoided_runner(const stage& on);
+int play_cancelled_jobs(const stage& on);
 
 constexpr int held = 0;
 constexpr int broken = 1;
