Review case 4: the client keeps the rate of the site's traffic

The client handed in about 30 jobs a second, where the site's traffic has 10.9. It now keeps that rate and cancels one job in three, in spells of 12 s (the site's largest give_up is 0.35 for 12 s). The record ends with the verdict.

--- a/review/standins-2/scenes.cc
+++ b/review/standins-2/scenes.cc
@@ -296,10 +296,14 @@
 }
 
 /// Of three jobs that a client hands in, one is large and due a day later, and
-/// is cancelled; the others are small and run.
+/// is cancelled, in spells of 12 s; the others are small and run.
 int play_cancelled_jobs(const stage& on) {
   constexpr unsigned runner_count = 4;
-  constexpr unsigned most_rounds = 150;
+  constexpr unsigned spells = 3;
+  /// The site's traffic has 10.9 jobs a second.
+  constexpr milliseconds three_jobs{276};
+  constexpr milliseconds spell{12'000};
+  constexpr milliseconds between{3'000};
   constexpr unsigned most_steps = 20'000;
   /// `finish_s` of the site.
   constexpr milliseconds finished_after{14'000};
@@ -318,24 +322,31 @@
     return state_is(boxes.call(0, "GET", job_path), "succeeded");
   });
   if (!done) return not_run;
-  const memory_guard guard(boxes, on.seen);
+  auto guard = std::make_unique<memory_guard>(boxes, on.seen);
   const auto all_ended = [&] {
-    const std::vector<unsigned> ends = guard.ends();
+    const std::vector<unsigned> ends = guard->ends();
     return std::all_of(ends.begin(), ends.end(), [](auto n) { return n > 0; });
   };
   const std::string large = large_job(on.trouble ? most_steps : 1);
-  const auto path_of = [](unsigned n) {
+  unsigned number = 0;
+  const auto next_path = [&number] {
     constexpr unsigned first = 1'000;
-    return "/pufi791/5c0e7a21d94b" + std::to_string(first + n);
+    return "/pufi791/5c0e7a21d94b" + std::to_string(first + number++);
   };
-  unsigned number = 0;
-  for (unsigned i = 0; i < most_rounds && !all_ended(); ++i) {
-    const unsigned at = i % 2;
-    const std::string path = path_of(number++);
-    boxes.call(at, "POST", path, large);
-    boxes.call(at, "DELETE", path);
-    boxes.call(at, "POST", path_of(number++), small);
-    boxes.call(at, "POST", path_of(number++), small);
+  for (unsigned i = 0; i < spells && !all_ended(); ++i) {
+    const auto until = clock_type::now() + spell;
+    on.seen.note("a spell of cancels begins");
+    auto next = clock_type::now();
+    for (unsigned at = 0; next < until && !all_ended(); at = 1 - at) {
+      const std::string path = next_path();
+      boxes.call(at, "POST", path, large);
+      boxes.call(at, "DELETE", path);
+      boxes.call(at, "POST", next_path(), small);
+      boxes.call(at, "POST", next_path(), small);
+      next = std::max(next + three_jobs, clock_type::now());
+      std::this_thread::sleep_until(next);
+    }
+    if (!all_ended()) nap(between);
   }
   on.seen.note("the traffic is over");
   nap(finished_after);
@@ -348,7 +359,8 @@
     nap(milliseconds(500));
   }
   std::string ended;
-  for (const unsigned n : guard.ends()) ended += " " + std::to_string(n);
+  for (const unsigned n : guard->ends()) ended += " " + std::to_string(n);
+  guard.reset();
   return verdict(on, answered == 0,
                  "asked " + std::to_string(asked) +
                      " times for a job that had succeeded, answered " +
